--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Modules of the workspace, in the order of their dependencies.
+MODULES := peerapi platform declare core entry cassiawind standin measure
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+STATICCHECK_VERSION := v0.8.2
+export CGO_ENABLED := 1
+
+.PHONY: build test lint model measure capacity demo generate tools
+
+build:
+	go build -ldflags "-X main.version=$(VERSION)" -o bin/cassiawind ./cassiawind
+	go build -o bin/standin ./standin/cmd/standin
+
+test:
+	go test $(PACKAGES)
+
+lint: tools
+	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet $(PACKAGES)
+	staticcheck $(PACKAGES)
+
+tools:
+	@command -v staticcheck >/dev/null || go install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
+
+# Runs each specification and each of its seeded mutations.
+model:
+	bash spec/run
+
+measure:
+	go run ./measure/cmd/measure
+
+capacity:
+	go run ./measure/cmd/capacity
+
+demo: build
+	bash standin/demo/run
+
+# Needs protoc, protoc-gen-go and protoc-gen-connect-go.
+generate:
+	cd peerapi && protoc --go_out=. --go_opt=paths=source_relative \
+	  --connect-go_out=. --connect-go_opt=paths=source_relative peer/v1/peer.proto
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is under construction.
+package entry
--- /dev/null
+++ b/measure/cmd/capacity/main.go
@@ -0,0 +1,4 @@
+// Command capacity is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/measure/cmd/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/measure/doc.go
@@ -0,0 +1,2 @@
+// Package measure is under construction.
+package measure
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is under construction.
+package standin
