--- /dev/null
+++ b/standin/backend/config.go
@@ -0,0 +1,66 @@
+// Package backend plays backend servers: each has slots, a service time and a
+// cold start, sheds load truthfully, and records every booking that it runs.
+package backend
+
+import (
+	"encoding/json"
+	"os"
+)
+
+// Defaults of a ServerConfig.
+const (
+	defaultSlowFactor = 20
+	defaultColdFactor = 4
+)
+
+// Config is the content of a backend configuration file.
+type Config struct {
+	// ControlAddress is the "ip:port" of the control end point.
+	ControlAddress string `json:"control_address"`
+	// Seed of the service times.
+	Seed    uint64         `json:"seed"`
+	Servers []ServerConfig `json:"servers"`
+}
+
+// ServerConfig describes one backend server.
+type ServerConfig struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Region  string `json:"region"`
+	// Address is "ip:port".
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	// Connections bounds the open connections; 0 sets no bound.
+	Connections int `json:"connections"`
+	// ServiceTimeMS is the mean service time in milliseconds. Service times
+	// are spread evenly over +-Spread of it.
+	ServiceTimeMS float64 `json:"service_time_ms"`
+	Spread        float64 `json:"spread"`
+	// ColdStartMS is how long the server is cold after its start; its service
+	// time is then multiplied by ColdFactor (default 4).
+	ColdStartMS int     `json:"cold_start_ms"`
+	ColdFactor  float64 `json:"cold_factor"`
+	// SlowFactor multiplies the service time in the modes slow and lying;
+	// default 20.
+	SlowFactor float64 `json:"slow_factor"`
+}
+
+// LoadConfig reads a configuration file.
+func LoadConfig(file string) (Config, error) {
+	var c Config
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return c, err
+	}
+	return c, json.Unmarshal(content, &c)
+}
+
+func (c ServerConfig) withDefaults() ServerConfig {
+	if c.SlowFactor == 0 {
+		c.SlowFactor = defaultSlowFactor
+	}
+	if c.ColdFactor == 0 {
+		c.ColdFactor = defaultColdFactor
+	}
+	return c
+}
