--- /dev/null
+++ b/core/admission/types.go
@@ -0,0 +1,103 @@
+package admission
+
+import (
+	"time"
+)
+
+// Class is the class of a request.
+type Class uint8
+
+// Classes of Request.
+const (
+	// Lookup is an idempotent request.
+	Lookup Class = iota
+	// Booking is a request that runs at most once.
+	Booking
+	classes
+)
+
+// Config configures a Scheduler. Zero fields take the defaults.
+type Config struct {
+	Service string
+	// Slots is the initial number of slots; SetSlots changes it.
+	Slots int
+	// MinLookups and MinBookings are the guaranteed minimum parts of the slots;
+	// default 0.3 each, at most 1 together. What one class does not use, the
+	// other may use.
+	MinLookups, MinBookings float64
+	// QueuePerAccount bounds the queue of one account; default 256.
+	QueuePerAccount int
+	// QueueTotal bounds all queues together; default 1024.
+	QueueTotal int
+	// ServiceTime is the expected time in a slot until requests have been
+	// measured; default 20 ms.
+	ServiceTime time.Duration
+}
+
+// Request is a request that asks for a slot.
+type Request struct {
+	// ID is unique among the requests of the scheduler.
+	ID      uint64
+	Account string
+	// Weight is the account's part under overload; default 1.
+	Weight float64
+	Class  Class
+	// Deadline is when the caller gives up; zero is never.
+	Deadline time.Time
+	// Cost is the work of the request relative to others; default 1.
+	Cost float64
+}
+
+// Verdict is the result of an Offer.
+type Verdict uint8
+
+// Verdicts of Decision.
+const (
+	// Admitted means that the request holds a slot until Release.
+	Admitted Verdict = iota
+	// Queued means that the request waits until it is returned as admitted or
+	// expired, or until Cancel.
+	Queued
+	// Rejected means that the request does not run.
+	Rejected
+)
+
+// Reason tells why a request does not run.
+type Reason string
+
+// Reasons of Decision and Expired.
+const (
+	NoReason Reason = ""
+	// ReasonDeadline means that the deadline had passed on arrival.
+	ReasonDeadline Reason = "deadline passed"
+	// ReasonWait means that the expected wait exceeds the remaining time.
+	ReasonWait Reason = "expected wait exceeds the deadline"
+	// ReasonQueueFull means that the account's queue is full.
+	ReasonQueueFull Reason = "queue of the account is full"
+	// ReasonOverload means that all queues together are full and that the
+	// account has the longest one for its weight.
+	ReasonOverload Reason = "queues of the service are full"
+)
+
+// Expired is a queued request that was given up: it did not run and must be
+// answered at once.
+type Expired struct {
+	ID      uint64
+	Account string
+	Reason  Reason
+	// RetryAfter is when the account's queue is expected to be empty.
+	RetryAfter time.Duration
+}
+
+// Decision is the result of an Offer.
+type Decision struct {
+	Verdict Verdict
+	// Reason and RetryAfter are set if the request was rejected.
+	Reason     Reason
+	RetryAfter time.Duration
+	// ExpectedWait is set if the request was queued.
+	ExpectedWait time.Duration
+	// Displaced is a queued request of another account that was given up to
+	// make room; nil if there is none.
+	Displaced *Expired
+}
--- /dev/null
+++ b/core/balance/doc.go
@@ -0,0 +1,2 @@
+// Package balance chooses the backend server for each request of one service.
+package balance
--- /dev/null
+++ b/core/routing/regions.go
@@ -0,0 +1,338 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoRegion means that no region can take the request now. The error returned
+// by Choose is a *NoRegionError.
+var ErrNoRegion = errors.New("no region can take the request")
+
+const (
+	defaultRamp  = 0.05
+	defaultFloor = 0.2
+	// measurementValidity is the age above which a measurement of a region is
+	// ignored; the cap's tokens still bound the traffic.
+	measurementValidity = 10 * time.Second
+	// retryNoTokens is one ramp window: by then the ramp has grown and the
+	// buckets of caps and links have been refilled by a second's rate.
+	retryNoTokens = time.Second
+	// retryNoService is the validity of a locate answer, after which the caller
+	// asks for entry VMs again.
+	retryNoService = 5 * time.Second
+
+	refusalSeparator = "; "
+	refusalColon     = ": "
+)
+
+// Refusal tells why a region did not take a request.
+type Refusal uint8
+
+// Refusals in the order in which Choose tests them.
+const (
+	NotRefused Refusal = iota
+	RefusedExcluded
+	RefusedFailed
+	RefusedDrained
+	RefusedMeasuredLoad
+	RefusedRamp
+	RefusedLink
+	RefusedCap
+)
+
+var refusalNames = [...]string{"", "excluded", "failed", "drained", "measured load", "ramp", "link limit", "region cap"}
+
+// String returns the refusal as written in logs and metrics.
+func (f Refusal) String() string { return refusalNames[f] }
+
+// RegionRefusal is the refusal of one region.
+type RegionRefusal struct {
+	Region  string
+	Refusal Refusal
+}
+
+// NoRegionError is an ErrNoRegion with the refusal of each region.
+type NoRegionError struct {
+	// RetryAfter is when a retry may succeed.
+	RetryAfter time.Duration
+	Refusals   []RegionRefusal
+}
+
+// Error implements error.
+func (e *NoRegionError) Error() string {
+	s := ErrNoRegion.Error()
+	for _, r := range e.Refusals {
+		s += refusalSeparator + r.Region + refusalColon + r.Refusal.String()
+	}
+	return s
+}
+
+// Is reports that a NoRegionError is an ErrNoRegion.
+func (e *NoRegionError) Is(target error) bool { return target == ErrNoRegion }
+
+// RegionConfig is a region as declared.
+type RegionConfig struct {
+	Name string
+	// CapPerSecond is the region's cap over all VMs, in requests per second.
+	CapPerSecond float64
+	// RampPerSecond is the part of the cap by which the region's traffic may
+	// grow each second over all VMs; default 0.05.
+	RampPerSecond float64
+	// Floor is the part of the cap that the ramp always allows; default 0.2.
+	Floor float64
+	// Limit is the name of the cap's quota limit; "" takes no tokens.
+	Limit string
+	// LinkLimits are the names of the quota limits of the links to this
+	// region, by the region of the entry VM.
+	LinkLimits map[string]string
+	// DelayMS is the one-way delay to other regions, in milliseconds.
+	DelayMS map[string]float64
+}
+
+// Measurement is the load of a region over all VMs, as last measured.
+type Measurement struct {
+	// At is the time of the measurement, not of its arrival.
+	At       time.Time
+	InFlight int
+	Slots    int
+}
+
+// ChooseInput is the input of Choose.
+type ChooseInput struct {
+	// From is the region of this entry VM.
+	From string
+	// Exclude are regions that must not be used, for example because the
+	// service has no backend server there.
+	Exclude []string
+	// Refund returns a link token when the region's cap then refuses; may be
+	// nil.
+	Refund func(limit string)
+}
+
+// RegionChoice is the region chosen for a request.
+type RegionChoice struct {
+	Region string
+	// Shifted is true if a nearer region did not take the request, for the
+	// reason in Nearest.
+	Shifted bool
+	Nearest Refusal
+}
+
+// Regions chooses the region for each request of this VM. All bounds hold over
+// all VMs together without communication per request: caps and links by the
+// quota tokens that the take callback takes, the ramp and the measured headroom
+// by dividing both by the number of VMs.
+type Regions struct {
+	byName map[string]*region
+	sorted []*region
+	orders map[string][]*region
+	vms    int
+}
+
+type region struct {
+	cfg         RegionConfig
+	failed      bool
+	drained     bool
+	measurement Measurement
+	ramp        ramp
+	inFlight    int
+}
+
+// NewRegions returns a Regions for one VM; call SetVMs as the fleet changes.
+func NewRegions(cfg []RegionConfig) *Regions {
+	r := &Regions{vms: 1, byName: make(map[string]*region)}
+	r.SetConfig(cfg)
+	return r
+}
+
+// SetConfig replaces the declarations. The ramps and the work in flight of
+// regions that remain are kept.
+func (r *Regions) SetConfig(cfg []RegionConfig) {
+	byName := make(map[string]*region, len(cfg))
+	sorted := make([]*region, 0, len(cfg))
+	for _, c := range cfg {
+		if c.RampPerSecond <= 0 {
+			c.RampPerSecond = defaultRamp
+		}
+		if c.Floor <= 0 {
+			c.Floor = defaultFloor
+		}
+		g := r.byName[c.Name]
+		if g == nil {
+			g = &region{}
+		}
+		g.cfg = c
+		byName[c.Name] = g
+		sorted = append(sorted, g)
+	}
+	slices.SortFunc(sorted, func(a, b *region) int { return cmp.Compare(a.cfg.Name, b.cfg.Name) })
+	r.byName, r.sorted, r.orders = byName, sorted, make(map[string][]*region)
+}
+
+// SetVMs sets the number of entry VMs by which ramps and measured headroom are
+// divided.
+func (r *Regions) SetVMs(n int) { r.vms = max(1, n) }
+
+// SetFailed marks a region as failed or as working again.
+func (r *Regions) SetFailed(name string, failed bool) {
+	if g := r.byName[name]; g != nil {
+		g.failed = failed
+	}
+}
+
+// SetDrained marks a region as drained by declaration.
+func (r *Regions) SetDrained(name string, drained bool) {
+	if g := r.byName[name]; g != nil {
+		g.drained = drained
+	}
+}
+
+// Measure records the load of a region. An older measurement is dropped.
+func (r *Regions) Measure(name string, m Measurement) {
+	if g := r.byName[name]; g != nil && m.At.After(g.measurement.At) {
+		g.measurement = m
+	}
+}
+
+// Choose returns the nearest region that can take a request, after taking its
+// tokens by the take callback. The error is a *NoRegionError. Each success must
+// be followed by one Done.
+//
+// Measured load never moves traffic away from the nearest region: if it did,
+// all VMs would move on the same stale measurement. It only bounds what may be
+// shifted to another region, and each VM uses at most its part of the measured
+// headroom until the next measurement.
+func (r *Regions) Choose(now time.Time, in ChooseInput, take func(limit string) bool) (RegionChoice, error) {
+	first := NotRefused
+	for i, g := range r.order(in.From) {
+		refusal := r.try(now, g, in, i == 0, take)
+		if refusal == NotRefused {
+			g.ramp.add(now)
+			g.inFlight++
+			return RegionChoice{Region: g.cfg.Name, Shifted: i > 0, Nearest: first}, nil
+		}
+		if i == 0 {
+			first = refusal
+		}
+	}
+	return RegionChoice{}, r.refused(now, in)
+}
+
+// try tests the region and takes its tokens. Tokens are taken last, the link's
+// first, so that a request refused for another reason costs none.
+func (r *Regions) try(now time.Time, g *region, in ChooseInput, nearest bool, take func(string) bool) Refusal {
+	if f := r.check(now, g, in, nearest); f != NotRefused {
+		return f
+	}
+	link := ""
+	if g.cfg.Name != in.From {
+		link = g.cfg.LinkLimits[in.From]
+	}
+	if link != "" && !take(link) {
+		return RefusedLink
+	}
+	if g.cfg.Limit != "" && !take(g.cfg.Limit) {
+		if link != "" && in.Refund != nil {
+			in.Refund(link)
+		}
+		return RefusedCap
+	}
+	return NotRefused
+}
+
+// check tests everything that takes no tokens.
+func (r *Regions) check(now time.Time, g *region, in ChooseInput, nearest bool) Refusal {
+	switch {
+	case slices.Contains(in.Exclude, g.cfg.Name):
+		return RefusedExcluded
+	case g.drained:
+		return RefusedDrained
+	case g.failed:
+		return RefusedFailed
+	case !nearest && r.headroom(now, g) < 1:
+		return RefusedMeasuredLoad
+	case g.ramp.used(now) >= r.allowed(now, g):
+		return RefusedRamp
+	}
+	return NotRefused
+}
+
+// headroom returns the number of requests that this VM may still send to the
+// region by the last measurement: its part of the free slots, less its own
+// requests that the measurement cannot have seen.
+func (r *Regions) headroom(now time.Time, g *region) float64 {
+	m := g.measurement
+	if m.At.IsZero() || now.Sub(m.At) > measurementValidity {
+		return math.MaxFloat64
+	}
+	free := float64(m.Slots-m.InFlight) / float64(r.vms)
+	return free - float64(g.ramp.since(now, m.At))
+}
+
+// allowed returns the number of requests that the ramp allows this VM in any
+// second: its peak second of the last 10 s or its part of the floor, plus its
+// part of the region's growth. The parts are equal, 1/number of VMs, so that
+// they sum to the declared growth whatever the VMs' traffic is. A shift that
+// few VMs carry is therefore slower than declared, never faster.
+func (r *Regions) allowed(now time.Time, g *region) float64 {
+	part := g.cfg.CapPerSecond / float64(r.vms)
+	return max(float64(g.ramp.peak(now)), g.cfg.Floor*part) + g.cfg.RampPerSecond*part
+}
+
+// refused builds the error. The refusals of the token limits are not known
+// here without asking for tokens again; they count as the cap.
+func (r *Regions) refused(now time.Time, in ChooseInput) *NoRegionError {
+	e := &NoRegionError{RetryAfter: retryNoService}
+	for i, g := range r.order(in.From) {
+		f := r.check(now, g, in, i == 0)
+		if f == NotRefused {
+			f = RefusedCap
+		}
+		if f >= RefusedMeasuredLoad {
+			e.RetryAfter = retryNoTokens
+		}
+		e.Refusals = append(e.Refusals, RegionRefusal{Region: g.cfg.Name, Refusal: f})
+	}
+	return e
+}
+
+// order returns the regions by their delay from the given one.
+func (r *Regions) order(from string) []*region {
+	if o, ok := r.orders[from]; ok {
+		return o
+	}
+	o := slices.Clone(r.sorted)
+	slices.SortStableFunc(o, func(a, b *region) int { return cmp.Compare(delay(from, a), delay(from, b)) })
+	r.orders[from] = o
+	return o
+}
+
+func delay(from string, to *region) float64 {
+	if to.cfg.Name == from {
+		return -1
+	}
+	if d, ok := to.cfg.DelayMS[from]; ok {
+		return d
+	}
+	return math.MaxFloat64
+}
+
+// Done ends a request that Choose admitted to the region.
+func (r *Regions) Done(_ time.Time, name string) {
+	if g := r.byName[name]; g != nil && g.inFlight > 0 {
+		g.inFlight--
+	}
+}
+
+// InFlight returns the VM's own requests in flight to a region, for heartbeats.
+func (r *Regions) InFlight(name string) int {
+	if g := r.byName[name]; g != nil {
+		return g.inFlight
+	}
+	return 0
+}
