--- a/declare/types.go
+++ b/declare/types.go
@@ -101,9 +101,9 @@
 	// Prefix is in CIDR form. Equal prefixes are an error; a longer prefix
 	// within a shorter one must name the shorter one in Within.
 	Prefix string `json:"prefix"`
-	Region string `json:"region"`
-	// Within names the enclosing block that this block refines.
-	Within string `json:"within,omitempty"`
+	Region string `json:"region" declare:"shared"`
+	// Within names the smallest enclosing block, which this block refines.
+	Within string `json:"within,omitempty" declare:"shared"`
 }
 
 // Drain takes something out of service. Exactly one of the targets is set.
