entry: request path, control loop and planned stop

Cause: the decisions need adapters for sockets, timers and the table. Change: problem details, metrics, peer transport, control loop, services, forwarding, look-ups and the operator address.

--- a/cassiawind/main.go
+++ b/cassiawind/main.go
@@ -1,20 +1,119 @@
-// Command cassiawind is the traffic steering system: the entry process and the
-// operators' commands.
+// Command cassiawind is the traffic steering system: the entry process that
+// runs on an entry VM and the operators' commands.
 package main
 
 import (
 	"fmt"
+	"os"
 
 	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/declare"
+	"github.com/cassiawind/cassiawind/platform"
 )
 
 // version is set by the linker.
 var version = "unknown"
 
+// Exit codes, see docs/OPERATIONS.md.
+const (
+	exitOK             = 0
+	exitInvalid        = 1
+	exitUsage          = 2
+	exitUnavailable    = 3
+	exitConflict       = 4
+	exitOutcomeUnknown = 5
+	exitFailed         = 6
+)
+
+// command is one subcommand.
+type command struct {
+	sub *flaggy.Subcommand
+	run func() error
+}
+
 func main() {
-	flaggy.SetName("cassiawind")
-	flaggy.SetDescription("global traffic steering")
-	flaggy.SetVersion(version)
-	flaggy.Parse()
-	fmt.Println(version)
+	os.Exit(run())
+}
+
+func run() int {
+	parser := flaggy.NewParser("cassiawind")
+	parser.Description = "global traffic steering"
+	parser.Version = version
+	commands := []command{
+		entryCommand(), checkCommand(), publishCommand(), statusCommand(),
+		explainCommand(), locateCommand(), versionCommand(),
+	}
+	for _, c := range commands {
+		parser.AttachSubcommand(c.sub, 1)
+	}
+	if err := parser.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	for _, c := range commands {
+		if c.sub.Used {
+			return report(c.run())
+		}
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+// report prints an error and returns its exit code.
+func report(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "cassiawind:", err)
+	var invalid declare.ValidationErrors
+	switch {
+	case errors.As(err, &invalid):
+		return exitInvalid
+	case errors.Is(err, ErrUsage):
+		return exitUsage
+	case errors.Is(err, platform.ErrUnavailable):
+		return exitUnavailable
+	case errors.Is(err, platform.ErrConflict):
+		return exitConflict
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		return exitOutcomeUnknown
+	default:
+		return exitFailed
+	}
+}
+
+// ErrUsage means that arguments are missing or do not fit together.
+var ErrUsage = errors.New("wrong usage, see --help")
+
+func newSubcommand(name, description, example string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	sub.AdditionalHelpAppend = "\nExample:\n  " + example
+	return sub
+}
+
+func versionCommand() command {
+	sub := newSubcommand("version", "prints the version of the build", "cassiawind version")
+	return command{sub, func() error {
+		fmt.Println(version)
+		return nil
+	}}
+}
+
+func checkCommand() command {
+	sub := newSubcommand("check", "validates a folder of declarations", "cassiawind check examples/frameshare")
+	var dir string
+	sub.AddPositionalValue(&dir, "DIR", 1, true, "folder with the declarations")
+	return command{sub, func() error {
+		folder, err := declare.LoadFolder(dir)
+		if err != nil {
+			return err
+		}
+		c := folder.Config
+		fmt.Printf("%s: ok: %d files, %d client accounts, %d keys, %d services, %d routes, %d regions, %d client blocks, %d drains\n",
+			dir, len(folder.Files), len(c.Accounts), len(c.Keys), len(c.Services), len(c.Routes), len(c.Regions), len(c.Blocks), len(c.Drains))
+		return nil
+	}}
 }
--- /dev/null
+++ b/cassiawind/query.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// queryTimeout bounds one question to an entry VM.
+const queryTimeout = 5 * time.Second
+
+// maxAnswerBytes bounds the answer to a question.
+const maxAnswerBytes = 16 << 20
+
+// ErrQuery means that an entry VM did not answer a question.
+var ErrQuery = errors.New("entry VM did not answer")
+
+// get asks an entry VM and returns the body of its answer.
+func get(address, path string, query url.Values) ([]byte, error) {
+	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	client := &http.Client{Timeout: queryTimeout}
+	resp, err := client.Get(u.String())
+	if err != nil {
+		return nil, errors.Wrap(ErrQuery, err.Error())
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrap(ErrQuery, err.Error())
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrQuery, "status %d: %s", resp.StatusCode, strings.TrimSpace(string(body)))
+	}
+	return body, nil
+}
+
+func locateCommand() command {
+	sub := newSubcommand("locate", "asks the system which entry VMs to use", "cassiawind locate --entry 127.1.0.1:8080 --client 10.1.2.3")
+	var entry, client string
+	sub.String(&entry, "", "entry", "address of any entry VM for callers, ip:port")
+	sub.String(&client, "", "client", "client address to ask for; default: this machine's")
+	return command{sub, func() error {
+		if entry == "" {
+			return errors.Wrap(ErrUsage, "--entry is missing")
+		}
+		query := url.Values{}
+		if client != "" {
+			query.Set("client", client)
+		}
+		body, err := get(entry, "/v1/locate", query)
+		if err != nil {
+			return err
+		}
+		_, err = os.Stdout.Write(body)
+		return err
+	}}
+}
+
+func explainCommand() command {
+	sub := newSubcommand("explain", "tells how a request would be decided, sending nothing",
+		"cassiawind explain --operator 127.1.0.1:8082 --client 10.1.2.3 --key-file key.txt --method GET --path /lots/7")
+	var operator, client, keyFile, path string
+	method := http.MethodGet
+	sub.String(&operator, "", "operator", "operator address of an entry VM, ip:port")
+	sub.String(&client, "", "client", "client address")
+	sub.String(&keyFile, "", "key-file", "file with the key; only its SHA-256 is sent")
+	sub.String(&method, "", "method", "HTTP method")
+	sub.String(&path, "", "path", "path of the request")
+	return command{sub, func() error {
+		if operator == "" || path == "" {
+			return errors.Wrap(ErrUsage, "--operator and --path are needed")
+		}
+		query := url.Values{"client": {client}, "method": {method}, "path": {path}}
+		if keyFile != "" {
+			key, err := os.ReadFile(keyFile)
+			if err != nil {
+				return errors.WithStack(err)
+			}
+			digest := sha256.Sum256([]byte(strings.TrimSpace(string(key))))
+			query.Set("key_sha256", hex.EncodeToString(digest[:]))
+		}
+		body, err := get(operator, "/explain", query)
+		if err != nil {
+			return err
+		}
+		fmt.Println(strings.TrimSpace(string(body)))
+		return nil
+	}}
+}
--- a/entry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package entry is under construction.
-package entry
--- /dev/null
+++ b/entry/forward/dispatch.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/entry/problem"
+)
+
+const (
+	// maxAttempts bounds the backend servers tried for one request.
+	maxAttempts = 3
+	// minHeadTimeout is the least time that an idempotent request waits for an
+	// answer to begin before another backend server is tried.
+	minHeadTimeout = 250 * time.Millisecond
+	// headTimeoutFactor is applied to the usual latency of the backend server.
+	headTimeoutFactor = 8
+)
+
+// dispatch sends the request to backend servers until one answers. mayDispatch
+// is asked immediately before each attempt; nil allows all.
+func (h *Handler) dispatch(ctx context.Context, c *call, body *requestBody, mayDispatch func(time.Time) bool) (*answer, *problem.Rejection) {
+	header := outgoingHeader(c)
+	var tried []string
+	run := problem.NotRun
+	var lastErr error
+	for range maxAttempts {
+		server, err := c.service.Pick(time.Now(), balance.PickInput{Region: c.region, Exclude: tried})
+		if err != nil {
+			break
+		}
+		now := time.Now()
+		if !now.Before(c.deadline) || (mayDispatch != nil && !mayDispatch(now)) {
+			c.service.Done(now, server.Name, balance.Outcome{Class: balance.ClassCanceled})
+			lastErr = context.DeadlineExceeded
+			break
+		}
+		tried = append(tried, server.Name)
+		ans, err := h.try(ctx, c, body, server, header)
+		if err == nil {
+			return ans, nil
+		}
+		lastErr = err
+		notRun := errors.Is(err, ErrNotEstablished) || errors.Is(err, ErrRejected)
+		if !notRun {
+			run = problem.MayHaveRun
+		}
+		if body.tooLong() {
+			return nil, withRun(tooLarge(), run)
+		}
+		if ctx.Err() != nil || !body.replayable() || (!notRun && !c.route.Idempotent) {
+			break
+		}
+	}
+	return nil, withRun(dispatchRejection(ctx, lastErr), run)
+}
+
+func withRun(r *problem.Rejection, run problem.Run) *problem.Rejection {
+	if run == problem.MayHaveRun {
+		return r.Unknown()
+	}
+	return r
+}
+
+func dispatchRejection(ctx context.Context, err error) *problem.Rejection {
+	switch {
+	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
+		return problem.New(problem.CodeDeadlineExceeded, http.StatusGatewayTimeout, "the deadline passed")
+	case err == nil:
+		return problem.New(problem.CodeNoBackend, http.StatusServiceUnavailable, "no backend server is available").After(time.Second)
+	case errors.Is(err, ErrRejected):
+		return problem.New(problem.CodeBackendRejected, http.StatusServiceUnavailable, "the backend servers are at capacity").After(time.Second)
+	default:
+		return problem.New(problem.CodeBackendFailed, http.StatusBadGateway, "the backend server failed").After(time.Second)
+	}
+}
+
+// try makes one attempt and tells its outcome to the backend server choice.
+func (h *Handler) try(ctx context.Context, c *call, body *requestBody, server balance.Server, header http.Header) (*answer, error) {
+	a := &attempt{call: c, body: body, server: server, transport: h.transports.booking, headTimeout: time.Until(c.deadline)}
+	if c.route.Idempotent {
+		a.transport = h.transports.lookup
+		a.headTimeout = lookupHeadTimeout(c.service.Latency(server.Name), a.headTimeout, body)
+	}
+	started := time.Now()
+	ans, err := a.do(ctx, header)
+	now := time.Now()
+	c.service.Done(now, server.Name, balance.Outcome{Class: outcomeClass(ctx, ans, err), Latency: now.Sub(started)})
+	return ans, err
+}
+
+// lookupHeadTimeout leaves time for another attempt, unless the body streams
+// and can not be sent again.
+func lookupHeadTimeout(latency, remaining time.Duration, body *requestBody) time.Duration {
+	if !body.isKept {
+		return remaining
+	}
+	usual := max(minHeadTimeout, headTimeoutFactor*latency)
+	return min(remaining, usual)
+}
+
+func outcomeClass(ctx context.Context, ans *answer, err error) balance.Class {
+	switch {
+	case err == nil && ans.resp.StatusCode >= http.StatusInternalServerError:
+		return balance.ClassError
+	case err == nil:
+		return balance.ClassOK
+	case errors.Is(err, ErrRejected):
+		return balance.ClassShed
+	case errors.Is(err, ErrNotEstablished):
+		return balance.ClassConnectFailed
+	case errors.Is(ctx.Err(), context.Canceled):
+		return balance.ClassCanceled
+	case errors.Is(err, ErrSilent), ctx.Err() != nil:
+		return balance.ClassTimeout
+	default:
+		return balance.ClassError
+	}
+}
+
+// respond passes the answer to the caller. An answer that breaks while it is
+// passed on ends the caller's connection, so that a part never looks whole.
+func (h *Handler) respond(c *call, ans *answer) *problem.Rejection {
+	header := ans.resp.Header.Clone()
+	removeHopHeaders(header)
+	header.Del(problem.HeaderRun)
+	copyHeader(c.w.Header(), header)
+	c.w.Header().Set(problem.HeaderRequestID, c.id)
+	for name := range ans.resp.Trailer {
+		c.w.Header().Add("Trailer", name)
+	}
+	c.w.WriteHeader(ans.resp.StatusCode)
+	if ans.isWhole {
+		// A write error means that the caller is gone.
+		_, _ = c.w.Write(ans.whole)
+		return nil
+	}
+	if err := copyStream(c.w, ans.resp.Body); err != nil {
+		h.metrics.Count(1, "answer_broken", c.account.Name)
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range ans.resp.Trailer {
+		c.w.Header()[name] = values
+	}
+	return nil
+}
+
+// copyStream flushes each part, since a stream's reader may wait for it.
+func copyStream(w http.ResponseWriter, r io.Reader) error {
+	flusher := http.NewResponseController(w)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := r.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if ferr := flusher.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/entry/telemetry/telemetry.go
@@ -0,0 +1,133 @@
+// Package telemetry holds the metrics of an entry process: counters of answers
+// and rejections, and latency histograms for each client account and class.
+package telemetry
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// reservoirSize is the number of samples of a histogram; with it the p99 of a
+// uniform sample has about 1% relative rank error.
+const reservoirSize = 1028
+
+// decayAlpha weighs samples of the last five minutes most, as in UNIX load
+// averages.
+const decayAlpha = 0.015
+
+// Metrics is safe for concurrent use.
+type Metrics struct {
+	registry metrics.Registry
+	started  time.Time
+}
+
+// New returns an empty set of metrics.
+func New(now time.Time) *Metrics {
+	return &Metrics{registry: metrics.NewRegistry(), started: now}
+}
+
+// Count adds n to a counter. Name parts are joined with ".".
+func (m *Metrics) Count(n int64, parts ...string) {
+	metrics.GetOrRegisterCounter(strings.Join(parts, "."), m.registry).Inc(n)
+}
+
+// Gauge sets a gauge.
+func (m *Metrics) Gauge(v float64, parts ...string) {
+	metrics.GetOrRegisterGaugeFloat64(strings.Join(parts, "."), m.registry).Update(v)
+}
+
+// Observe adds a latency to a histogram, in microseconds.
+func (m *Metrics) Observe(d time.Duration, parts ...string) {
+	name := strings.Join(parts, ".")
+	h, ok := m.registry.Get(name).(metrics.Histogram)
+	if !ok {
+		h = metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(reservoirSize, decayAlpha))
+	}
+	h.Update(d.Microseconds())
+}
+
+// Answered records a whole answer of a client account.
+func (m *Metrics) Answered(account, class string, d time.Duration) {
+	m.Count(1, "answered", account)
+	m.Observe(d, "latency_us", "account", account)
+	m.Observe(d, "latency_us", "class", class)
+}
+
+// Rejected records a rejection.
+func (m *Metrics) Rejected(account, code string) {
+	m.Count(1, "rejected", account, code)
+	m.Count(1, "rejected_code", code)
+}
+
+// Account is what the operator sees of one client account.
+type Account struct {
+	Name     string  `json:"name"`
+	Answered int64   `json:"answered"`
+	Rejected int64   `json:"rejected"`
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	// Served is answered / (answered + rejected).
+	Served float64 `json:"served"`
+}
+
+// Accounts returns the figures of every client account seen, worst served
+// first.
+func (m *Metrics) Accounts() []Account {
+	byName := map[string]*Account{}
+	get := func(name string) *Account {
+		if byName[name] == nil {
+			byName[name] = &Account{Name: name}
+		}
+		return byName[name]
+	}
+	m.registry.Each(func(name string, metric any) {
+		parts := strings.Split(name, ".")
+		switch v := metric.(type) {
+		case metrics.Counter:
+			if parts[0] == "answered" {
+				get(parts[1]).Answered += v.Count()
+			} else if parts[0] == "rejected" {
+				get(parts[1]).Rejected += v.Count()
+			}
+		case metrics.Histogram:
+			if len(parts) == 3 && parts[1] == "account" {
+				s := v.Snapshot()
+				get(parts[2]).P50MS = s.Percentile(0.5) / 1000
+				get(parts[2]).P99MS = s.Percentile(0.99) / 1000
+			}
+		}
+	})
+	out := make([]Account, 0, len(byName))
+	for _, a := range byName {
+		if total := a.Answered + a.Rejected; total > 0 {
+			a.Served = float64(a.Answered) / float64(total)
+		}
+		out = append(out, *a)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Served != out[j].Served {
+			return out[i].Served < out[j].Served
+		}
+		return out[i].Name < out[j].Name
+	})
+	return out
+}
+
+// WriteJSON serves all metrics as one JSON object.
+func (m *Metrics) WriteJSON(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(m.registry, w)
+}
+
+// Prometheus serves all metrics in the Prometheus text format.
+func (m *Metrics) Prometheus() http.Handler {
+	r := prometheus.NewRegistry()
+	r.MustRegister(&collector{m.registry})
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
