core/lease, core/fleet: leases by weighted quorum and the membership epoch machine

Cause: nothing decided yet whether a VM may serve. The fleet row names the member that an epoch adds or removes, because majorities of adjacent epochs can be disjoint when the table's weight changes with the number of members.

--- /dev/null
+++ b/core/fleet/doc.go
@@ -0,0 +1,30 @@
+// Package fleet manages the membership epoch and this VM's lease. The fleet row
+// in the table holds the members of the current epoch and is changed by
+// compare-and-swap, one member per epoch.
+//
+// # Safety
+//
+// A member X that is evicted holds no valid lease from the moment of the
+// compare-and-swap. Let E be the epoch in which the votes were given.
+//
+//   - A voter votes only if it has granted X nothing for lease.Promise, and
+//     grants X nothing more until it enters a later epoch. The table's vote is
+//     that X's lease row is unchanged for lease.Promise up to and including the
+//     compare-and-swap, and X's renewals are conditional on the fleet row.
+//   - The votes form a quorum of E and of each earlier epoch in which X may
+//     still hold a lease. Every quorum of grants to X in such an epoch therefore
+//     contains an expired grant that was not renewed.
+//   - Epoch E-1 is among them until a quorum of E and of E-1 is known to have
+//     entered E for lease.Promise; an earlier epoch D until epoch D+2 has been
+//     known for lease.Promise, because D+2 was written only after such a quorum
+//     had entered D+1. Voters that have entered an epoch grant nothing that
+//     counts in earlier ones.
+//
+// Requiring a quorum of E alone is not enough: the table's weight changes with
+// the number of members, so majorities of adjacent epochs can be disjoint. With
+// members 1 to 5, four members form a quorum of weight 4 of 7; after 6 joins,
+// 5, 6 and the table form one of weight 5 of 9.
+//
+// A takeover of the row after lease.TakeoverAfter relies on
+// lease.TableContactLimit instead of votes.
+package fleet
--- /dev/null
+++ b/core/fleet/snapshot.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cassiawind/cassiawind/core/lease"
+)
+
+// Basis tells what a lease rests on.
+type Basis string
+
+// Values of Basis.
+const (
+	BasisNone    Basis = "none"
+	BasisMembers Basis = "members"
+	BasisTable   Basis = "table"
+)
+
+// State is the state of this incarnation, as shown to operators.
+type State string
+
+// Values of State.
+const (
+	StateJoining  State = "joining"
+	StateMember   State = "member"
+	StateLeaving  State = "leaving"
+	StateRemoving State = "removing itself"
+	StateDone     State = "done"
+)
+
+// MemberSnapshot is what this VM knows of one member.
+type MemberSnapshot struct {
+	VM            string        `json:"vm"`
+	Incarnation   uint64        `json:"incarnation"`
+	Region        string        `json:"region"`
+	FailureDomain string        `json:"failure_domain"`
+	Epoch         uint64        `json:"epoch"`     // latest epoch it is known to act under
+	Granted       bool          `json:"granted"`   // it has granted this VM a lease
+	GrantAge      time.Duration `json:"grant_age"` // since the heartbeat that it granted
+	Silence       time.Duration `json:"silence"`   // since its last heartbeat
+	Votes         int           `json:"votes"`     // for its eviction, known to this VM
+}
+
+// Snapshot is the state of the machine for operators.
+type Snapshot struct {
+	State           State            `json:"state"`
+	Epoch           uint64           `json:"epoch"`
+	Settled         bool             `json:"settled"` // the next epoch may be written
+	Members         []MemberSnapshot `json:"members"`
+	LeaseValid      bool             `json:"lease_valid"`
+	LeaseRemaining  time.Duration    `json:"lease_remaining"`
+	Basis           Basis            `json:"basis"`
+	TableContactAge time.Duration    `json:"table_contact_age"` // of any known member
+	LastTableError  error            `json:"-"`
+}
+
+// Snapshot returns the state for operators.
+func (m *Machine) Snapshot(now time.Time) Snapshot {
+	s := Snapshot{
+		State: m.state(), Epoch: m.current.GetEpoch(), Basis: m.basis(now),
+		LeaseValid: m.LeaseValid(now), LastTableError: m.lastErr,
+	}
+	if s.LeaseValid {
+		s.LeaseRemaining = m.LeaseUntil().Sub(now)
+	}
+	if e := m.chain.current(); e != nil {
+		s.Settled = e.settled
+	}
+	if !m.isMember() {
+		return s
+	}
+	s.TableContactAge = m.holder.ContactAge(now)
+	for _, member := range m.current.GetMembers() {
+		id := lease.IDOf(member)
+		ms := MemberSnapshot{
+			VM: id.VM, Incarnation: id.Incarnation, Region: member.GetRegion(),
+			FailureDomain: member.GetFailureDomain(), Epoch: m.acked[id],
+		}
+		if at, ok := m.holder.GrantedAt(id); ok {
+			ms.Granted, ms.GrantAge = true, now.Sub(at)
+		}
+		if id != m.id {
+			ms.Silence = now.Sub(m.heard[id])
+		}
+		if c := m.candidates[id]; c != nil {
+			ms.Votes = len(c.votes)
+		}
+		s.Members = append(s.Members, ms)
+	}
+	return s
+}
+
+func (m *Machine) state() State {
+	states := map[phase]State{
+		phaseJoining: StateJoining, phaseMember: StateMember, phaseLeaving: StateLeaving,
+		phaseRemoving: StateRemoving, phaseDone: StateDone,
+	}
+	return states[m.phase]
+}
+
+func (m *Machine) basis(now time.Time) Basis {
+	switch {
+	case !m.LeaseValid(now):
+		return BasisNone
+	case now.Before(m.holder.MembersUntil()):
+		return BasisMembers
+	}
+	return BasisTable
+}
--- /dev/null
+++ b/core/lease/voters.go
@@ -0,0 +1,87 @@
+package lease
+
+import (
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+)
+
+// Voters is the voter set of one epoch: each member has weight 1, the table
+// has weight floor(n/2) for n members.
+type Voters struct {
+	members map[ID]struct{}
+}
+
+// NewVoters returns the voter set of the members.
+func NewVoters(members []*peerv1.Member) Voters {
+	v := Voters{members: make(map[ID]struct{}, len(members))}
+	for _, m := range members {
+		v.members[IDOf(m)] = struct{}{}
+	}
+	return v
+}
+
+// Size returns the number of members.
+func (v Voters) Size() int { return len(v.members) }
+
+// Has reports whether the ID is a member.
+func (v Voters) Has(id ID) bool {
+	_, ok := v.members[id]
+	return ok
+}
+
+// With returns the set with a member added.
+func (v Voters) With(id ID) Voters {
+	c := v.clone()
+	c.members[id] = struct{}{}
+	return c
+}
+
+// Without returns the set with a member removed.
+func (v Voters) Without(id ID) Voters {
+	c := v.clone()
+	delete(c.members, id)
+	return c
+}
+
+func (v Voters) clone() Voters {
+	c := Voters{members: make(map[ID]struct{}, len(v.members)+1)}
+	for id := range v.members {
+		c.members[id] = struct{}{}
+	}
+	return c
+}
+
+// TableWeight returns the weight of the table.
+func (v Voters) TableWeight() int { return len(v.members) / 2 }
+
+// Total returns the weight of all voters.
+func (v Voters) Total() int { return len(v.members) + v.TableWeight() }
+
+// Quorum returns the least weight that is a strict majority. It is 0 for an
+// empty set, in which nobody can hold a lease.
+func (v Voters) Quorum() int {
+	if len(v.members) == 0 {
+		return 0
+	}
+	return v.Total()/2 + 1
+}
+
+// Tally is a set of voters that agree.
+type Tally struct {
+	Members map[ID]struct{}
+	Table   bool
+}
+
+// Quorate reports whether the tally is a quorum of the voter set. Members of
+// the tally that are not in the voter set do not count.
+func (v Voters) Quorate(t Tally) bool {
+	weight := 0
+	if t.Table {
+		weight += v.TableWeight()
+	}
+	for id := range t.Members {
+		if v.Has(id) {
+			weight++
+		}
+	}
+	return weight >= v.Quorum()
+}
