--- /dev/null
+++ b/core/configsync/entries.go
@@ -0,0 +1,199 @@
+package configsync
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+)
+
+// A version is a list of entries in the order of their names. Removed entries
+// stay as tombstones, so that a peer with an older version learns of the
+// removal. Their number is bounded: the oldest are dropped, and the horizon, an
+// entry with an empty name, tells up to which version tombstones were dropped. A
+// peer with a version below the horizon gets all entries.
+
+// maxTombstones bounds the tombstones of a version. At today's rate of changes,
+// 256 removals cover months; a peer that lacks more gets all entries.
+const maxTombstones = 256
+
+const horizonName = ""
+
+// Errors of received content.
+var (
+	// ErrBadContent means that an object or update cannot be decoded.
+	ErrBadContent = errors.New("invalid configuration content")
+	// ErrDigest means that content does not match its digest.
+	ErrDigest = errors.New("configuration digest does not match")
+	// ErrBase means that an update was made for another base version.
+	ErrBase = errors.New("configuration update does not fit the version in effect")
+)
+
+// item is an entry with the SHA-256 of its content, which is kept so that a
+// change hashes only the entries that it contains.
+type item struct {
+	entry *peerv1.ConfigEntry
+	sum   [sha256.Size]byte
+}
+
+func newItem(e *peerv1.ConfigEntry) item {
+	return item{entry: e, sum: sha256.Sum256(e.GetContent())}
+}
+
+// content is a version's items in the order of their names.
+type content []item
+
+func newContent(entries []*peerv1.ConfigEntry) content {
+	c := make(content, 0, len(entries))
+	for _, e := range entries {
+		c = append(c, newItem(e))
+	}
+	c.sort()
+	return c
+}
+
+func (c content) sort() {
+	slices.SortFunc(c, func(a, b item) int { return strings.Compare(a.entry.GetName(), b.entry.GetName()) })
+}
+
+func (c content) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(c, name, func(it item, name string) int {
+		return strings.Compare(it.entry.GetName(), name)
+	})
+}
+
+// live returns the entries that are not removed.
+func (c content) live() []*peerv1.ConfigEntry {
+	var live []*peerv1.ConfigEntry
+	for _, it := range c {
+		if !it.entry.GetRemoved() {
+			live = append(live, it.entry)
+		}
+	}
+	return live
+}
+
+// all returns all entries, including tombstones and the horizon.
+func (c content) all() []*peerv1.ConfigEntry {
+	entries := make([]*peerv1.ConfigEntry, len(c))
+	for i, it := range c {
+		entries[i] = it.entry
+	}
+	return entries
+}
+
+// horizon is the highest version of a dropped tombstone, or 0.
+func (c content) horizon() uint64 {
+	if i, ok := c.find(horizonName); ok {
+		return c[i].entry.GetVersion()
+	}
+	return 0
+}
+
+// since returns the entries that a peer with version have lacks, and the version
+// for which the list is a difference: have, or 0 for all entries.
+func (c content) since(have uint64) (from uint64, entries []*peerv1.ConfigEntry) {
+	if have == 0 || have < c.horizon() {
+		return 0, c.all()
+	}
+	for _, it := range c {
+		if it.entry.GetVersion() > have || it.entry.GetName() == horizonName {
+			entries = append(entries, it.entry)
+		}
+	}
+	return have, entries
+}
+
+// apply returns the content with the changed entries put in place and without
+// the tombstones up to the horizon.
+func (c content) apply(changed []*peerv1.ConfigEntry) content {
+	next := slices.Clone(c)
+	for _, e := range changed {
+		if i, ok := c.find(e.GetName()); ok {
+			next[i] = newItem(e)
+		} else {
+			next = append(next, newItem(e))
+		}
+	}
+	next.sort()
+	return next.dropUpTo(next.horizon())
+}
+
+func (c content) dropUpTo(horizon uint64) content {
+	return slices.DeleteFunc(c, func(it item) bool {
+		e := it.entry
+		return e.GetRemoved() && e.GetName() != horizonName && e.GetVersion() <= horizon
+	})
+}
+
+// bounded drops the oldest tombstones beyond the bound and moves the horizon.
+func (c content) bounded() content {
+	var versions []uint64
+	for _, it := range c {
+		if it.entry.GetRemoved() && it.entry.GetName() != horizonName {
+			versions = append(versions, it.entry.GetVersion())
+		}
+	}
+	if len(versions) <= maxTombstones {
+		return c
+	}
+	slices.Sort(versions)
+	horizon := versions[len(versions)-maxTombstones-1]
+	return c.apply([]*peerv1.ConfigEntry{{Name: horizonName, Version: horizon, Removed: true}})
+}
+
+// Digest returns the SHA-256 of a version: of its number and, for each entry in
+// the order of names, of name, version, removal and the SHA-256 of the content.
+func Digest(version uint64, entries []*peerv1.ConfigEntry) []byte {
+	return newContent(entries).digest(version)
+}
+
+func (c content) digest(version uint64) []byte {
+	h := sha256.New()
+	var buffer []byte
+	buffer = binary.BigEndian.AppendUint64(buffer, version)
+	for _, it := range c {
+		buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(it.entry.GetName())))
+		buffer = append(buffer, it.entry.GetName()...)
+		buffer = binary.BigEndian.AppendUint64(buffer, it.entry.GetVersion())
+		buffer = append(buffer, removedByte(it.entry.GetRemoved()))
+		buffer = append(buffer, it.sum[:]...)
+		h.Write(buffer)
+		buffer = buffer[:0]
+	}
+	h.Write(buffer)
+	return h.Sum(nil)
+}
+
+func removedByte(removed bool) byte {
+	if removed {
+		return 1
+	}
+	return 0
+}
+
+// encodeObject returns the object content of a version: a ConfigUpdate from
+// version 0.
+func encodeObject(version uint64, c content) ([]byte, error) {
+	update := &peerv1.ConfigUpdate{Version: version, Digest: c.digest(version), Entries: c.all()}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(update)
+}
+
+// decodeObject decodes an object and checks it against the digest of the row.
+func decodeObject(object []byte, version uint64, digest []byte) (content, error) {
+	var update peerv1.ConfigUpdate
+	if err := proto.Unmarshal(object, &update); err != nil {
+		return nil, errors.WithMessage(ErrBadContent, err.Error())
+	}
+	c := newContent(update.GetEntries())
+	if update.GetVersion() != version || !bytes.Equal(c.digest(version), digest) {
+		return nil, ErrDigest
+	}
+	return c, nil
+}
