--- a/entry/control/config.go
+++ b/entry/control/config.go
@@ -66,7 +66,7 @@
 	if version <= c.policy.Load().Version {
 		return
 	}
-	config, err := declare.Parse(files(entries))
+	config, err := declare.Parse(Files(entries))
 	if err != nil {
 		c.log.Error(err, "accepted configuration is not valid; the previous one stays in force", "version", version)
 		return
@@ -90,7 +90,8 @@
 	c.log.Info("configuration in force", "version", p.Version)
 }
 
-func files(entries []*peerv1.ConfigEntry) []declare.File {
+// Files returns the declarations of entries, without removed ones.
+func Files(entries []*peerv1.ConfigEntry) []declare.File {
 	out := make([]declare.File, 0, len(entries))
 	for _, e := range entries {
 		if !e.Removed {
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -14,7 +14,6 @@
 
 	"github.com/cassiawind/cassiawind/core/configsync"
 	"github.com/cassiawind/cassiawind/core/fleet"
-	"github.com/cassiawind/cassiawind/core/membership"
 	"github.com/cassiawind/cassiawind/core/outbox"
 	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/core/tableop"
@@ -57,7 +56,6 @@
 
 	mu      sync.Mutex
 	fleet   *fleet.Machine
-	swim    *membership.Machine
 	store   *configsync.Store
 	info    fleet.HeartbeatInfo
 	seeds   map[string]*peerv1.Member
@@ -86,7 +84,6 @@
 	c := &Control{
 		platform: p, log: log, ctx: ctx, base: time.Now(),
 		fleet:        fleet.New(self, rand.New(seed)),
-		swim:         membership.New(self, rand.New(seed)),
 		store:        configsync.New(rand.New(seed)),
 		quota:        quota.New(self.Vm, rand.New(seed)),
 		seeds:        map[string]*peerv1.Member{},
@@ -138,12 +135,10 @@
 	c.fleet.SetInfo(c.info)
 	machine := c.fleet
 	out := machine.Tick(now)
-	pings := c.swim.Tick(now)
 	ops := c.store.Tick(now, len(c.members))
 	c.mu.Unlock()
 
 	c.apply(now, machine, out)
-	c.sender.Send(pings)
 	for _, op := range ops {
 		go c.runConfigOp(op)
 	}
@@ -158,10 +153,6 @@
 		return c.receiveQuota(now, from, msg)
 	case *peerv1.Message_ConfigRequest, *peerv1.Message_ConfigUpdate:
 		return c.receiveConfig(now, from, msg)
-	case *peerv1.Message_Ping, *peerv1.Message_PingAck, *peerv1.Message_PingRequest:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.swim.Receive(now, from, msg)
 	case *peerv1.Message_Heartbeat:
 		sends := c.receiveHeartbeat(now, from, kind.Heartbeat)
 		return append(sends, c.receiveFleet(now, from, msg)...)
@@ -251,14 +242,13 @@
 	defer c.mu.Unlock()
 	c.self.Store(self)
 	c.fleet = fleet.New(self, rand.New(seed))
-	c.swim = membership.New(self, rand.New(seed))
 	c.leaseUntil.Store(0)
 }
 
 // enterEpoch needs mu.
 func (c *Control) enterEpoch(now time.Time, f *peerv1.Fleet) []outbox.Send {
 	c.log.Info("membership epoch", "epoch", f.GetEpoch(), "members", len(f.GetMembers()))
-	c.setMembers(now, f)
+	c.setMembers(f)
 	c.quotaMu.Lock()
 	defer c.quotaMu.Unlock()
 	c.wakeWaiters()
@@ -266,12 +256,11 @@
 }
 
 // setMembers needs mu.
-func (c *Control) setMembers(now time.Time, f *peerv1.Fleet) {
+func (c *Control) setMembers(f *peerv1.Fleet) {
 	c.members = map[string]*peerv1.Member{}
 	for _, m := range f.GetMembers() {
 		c.members[m.Vm] = m
 	}
-	c.swim.SetSeeds(now, f.GetMembers())
 	for _, byVM := range c.hints {
 		for vm := range byVM {
 			if c.members[vm] == nil {
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -9,6 +9,10 @@
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 )
 
+// silentAfter is the time without a heartbeat, three intervals, after which a
+// member is no longer given to callers as healthy.
+const silentAfter = 1500 * time.Millisecond
+
 // LeaseValid reports whether this VM may admit requests at the given time. It
 // uses the monotonic clock, so that a process that was paused past its lease
 // sees that at once.
@@ -165,9 +169,9 @@
 // aliveVMs needs mu.
 func (c *Control) aliveVMs() map[string]bool {
 	alive := map[string]bool{}
-	for _, m := range c.swim.Members() {
-		if m.State == peerv1.Liveness_STATE_ALIVE {
-			alive[m.Member.Vm] = true
+	for _, m := range c.fleet.Snapshot(time.Now()).Members {
+		if m.Silence < silentAfter {
+			alive[m.VM] = true
 		}
 	}
 	return alive
--- a/entry/forward/bookings.go
+++ b/entry/forward/bookings.go
@@ -105,14 +105,14 @@
 		}),
 	}
 	b.pending.Add(1)
-	go a.run()
+	// Started before wait reads the dispatch deadline.
+	go a.run(a.locked(a.attempt.Start))
 	return a
 }
 
 // run carries out steps until none is left.
-func (a *keyedAttempt) run() {
+func (a *keyedAttempt) run(step once.Step) {
 	defer a.bookings.pending.Add(-1)
-	step := a.locked(func(now time.Time) once.Step { return a.attempt.Start(now) })
 	for step.Kind != once.Finish && step.Kind != once.None {
 		step = a.carryOut(step)
 	}
@@ -147,7 +147,7 @@
 		case <-a.bookings.ctx.Done():
 			return once.Step{Kind: once.Finish}
 		}
-		return a.locked(func(now time.Time) once.Step { return a.attempt.Waited(now) })
+		return a.locked(a.attempt.Waited)
 	case once.PutObject, once.GetObject:
 		content, err := a.object(step)
 		return a.locked(func(now time.Time) once.Step { return a.attempt.ObjectResult(now, content, err) })
@@ -181,6 +181,6 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	a.locked(func(now time.Time) once.Step { return a.attempt.GiveUp(now) })
+	a.locked(a.attempt.GiveUp)
 	return <-a.response
 }
--- a/entry/service/service.go
+++ b/entry/service/service.go
@@ -106,7 +106,8 @@
 	fair := (max(0, total-used)*freeSlotFactor + s.vms - 1) / s.vms
 	minimum := (total + s.vms - 1) / s.vms
 	s.slots = min(total, max(minimum, s.inFlight+fair))
-	s.wake(s.sched.SetSlots(now, s.slots))
+	s.sched.SetSlots(now, s.slots)
+	s.wake(s.sched.Admit(now))
 }
 
 // Admit waits until the scheduler admits the request or gives up on it.
