core/quota: limits shared by all VMs as divisible units

Client account rates, region caps and link limits need one bound over all VMs without an owner per limit. Units move by demand, the giver subtracts before it sends, and lost units return by reconciliation: round 0 of each epoch, and further rounds of single limits within an epoch for new limits and for units that the hints show as missing. Limits with a small burst have a home where unused units gather. The peer messages get the fields for rounds, holdings and demand.

--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,335 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+)
+
+var large = Limit{Name: testLimit, RatePerSecond: 1000, Burst: 200}
+
+// Guards against units that stay where the traffic was.
+func TestTrafficMovesBetweenVMs(t *testing.T) {
+	for _, l := range []Limit{large, {testLimit, 50, 25}, {testLimit, 20, 5}} {
+		n := settled(t, 11, l)
+		for _, vm := range []int{1, 5, 9, 0} {
+			asked, refused := n.demandAt(2*time.Second, l.RatePerSecond*0.8, n.nodes[vm])
+			require.Zero(t, refused, "of %d at vm %d, %v", asked, vm, l)
+		}
+	}
+}
+
+// Guards against small bursts lying in parts that admit nothing.
+func TestSmallBurstEvenlySpread(t *testing.T) {
+	n := settled(t, 11, Limit{testLimit, 10, 5})
+	asked, refused := n.demandAt(30*time.Second, 7, n.nodes...)
+	require.LessOrEqual(t, float64(refused), 0.01*float64(asked))
+}
+
+// Guards against a burst of one token that no VM can collect.
+func TestBurstOfOneToken(t *testing.T) {
+	n := settled(t, 4, Limit{testLimit, 2, 1})
+	asked, refused := n.demandAt(10*time.Second, 1, n.nodes[2])
+	require.Zero(t, refused, "of %d", asked)
+}
+
+// Guards against units that stay lost without a change of the membership.
+func TestLostTransfersComeBack(t *testing.T) {
+	n := settled(t, 4, large)
+	deliver := n.fate
+	n.fate = loseTransfers
+	n.demandAt(time.Second, 800, n.nodes[1])
+	require.Less(t, n.held(testLimit), uint64(TotalUnits))
+	n.fate = deliver
+	n.run(MissingPatience + 6*time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against units added twice by a duplicate, and by a transfer that
+// arrives after the reconciliation has returned its units.
+func TestDuplicatedAndLateTransfers(t *testing.T) {
+	n := settled(t, 4, large)
+	deliver := n.fate
+	n.fate = func(p packet) []time.Duration {
+		if p.msg.GetQuotaTransfer() == nil {
+			return deliver(p)
+		}
+		return []time.Duration{4 * time.Second, remoteWay, 10 * time.Millisecond}
+	}
+	n.demandAt(time.Second, 800, n.nodes[1])
+	n.fate = func(p packet) []time.Duration {
+		if p.msg.GetQuotaTransfer() == nil {
+			return deliver(p)
+		}
+		return []time.Duration{3 * time.Second}
+	}
+	n.demandAt(500*time.Millisecond, 800, n.nodes[2])
+	n.epoch(n.nodes[3])
+	n.run(time.Second)
+	n.fate = deliver
+	n.run(10 * time.Second) // the network checks the sum at each step
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against the loss of a killed VM's units.
+func TestKilledVM(t *testing.T) {
+	n := settled(t, 4, large)
+	n.demandAt(time.Second, 800, n.nodes[1])
+	n.nodes[1].killed = true
+	n.run(5 * time.Second)
+	n.epoch(n.nodes[2])
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against a paused VM that spends units which were credited to others:
+// its late messages are dropped, and EnterEpoch(nil) leaves it nothing.
+func TestPausedVMAfterReconciliation(t *testing.T) {
+	n := settled(t, 4, large)
+	paused := n.nodes[1]
+	n.demandAt(time.Second, 800, paused)
+	paused.paused = true
+	n.epoch(n.nodes[0])
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+	paused.paused = false
+	for _, v := range n.nodes {
+		if v != paused {
+			before := v.m.limits[testLimit].units
+			transfer := &peerv1.QuotaTransfer{Epoch: 1, Sequence: 999, Limit: testLimit, Units: 5}
+			n.post(v, v.m.Receive(n.now, paused.member, &peerv1.Message{Kind: &peerv1.Message_QuotaTransfer{QuotaTransfer: transfer}}))
+			require.Equal(t, before, v.m.limits[testLimit].units)
+		}
+	}
+	require.Nil(t, paused.m.EnterEpoch(n.now, nil))
+	require.False(t, paused.m.Take(n.now, testLimit, 1).OK)
+	n.epoch(n.nodes[0])
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against two credits for the same units when a newer epoch starts
+// before the reconciliation of the last one has ended, in any order of entry.
+func TestConcurrentEpochs(t *testing.T) {
+	n := settled(t, 4, large)
+	n.nodes[3].killed = true
+	first := n.write(n.nodes[0])
+	n.enter(n.nodes[0], first)
+	n.enter(n.nodes[1], first)
+	n.run(20 * time.Millisecond)
+	second := n.write(n.nodes[1])
+	n.enter(n.nodes[1], second)
+	n.run(70 * time.Millisecond)
+	n.enter(n.nodes[2], first)
+	n.run(70 * time.Millisecond)
+	n.enter(n.nodes[2], second)
+	n.run(time.Second)
+	require.Less(t, n.held(testLimit), uint64(TotalUnits), "no credit before all members have reported")
+	n.enter(n.nodes[0], second)
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against a reconciliation that ends with its writer: the epoch after
+// the writer's eviction completes it.
+func TestWriterKilledDuringReconciliation(t *testing.T) {
+	n := settled(t, 4, large)
+	n.nodes[3].killed = true
+	n.epoch(n.nodes[0])
+	n.run(30 * time.Millisecond)
+	n.nodes[0].killed = true
+	n.run(4 * time.Second)
+	require.Less(t, n.held(testLimit), uint64(TotalUnits))
+	n.epoch(n.nodes[2])
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against a fleet that nobody reconciles because its writer removed
+// itself.
+func TestPlannedStopHandsOver(t *testing.T) {
+	n := settled(t, 4, large)
+	n.demandAt(time.Second, 800, n.nodes[1])
+	n.post(n.nodes[1], n.nodes[1].m.HandOver(n.now, []string{"vm00", "vm02", "vm03"}))
+	n.run(100 * time.Millisecond)
+	require.Zero(t, n.nodes[1].m.limits[testLimit].units)
+	require.EqualValues(t, TotalUnits, n.held(testLimit), "units move without an epoch")
+	n.fate = loseTransfers
+	n.demandAt(500*time.Millisecond, 800, n.nodes[2])
+	n.fate = func(packet) []time.Duration { return []time.Duration{remoteWay} }
+	n.nodes[1].killed = true
+	n.epoch(n.nodes[1])
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(testLimit))
+}
+
+// Guards against tokens made by a change of rate and burst: while it spreads,
+// the old value may be used, and afterwards only the new one.
+func TestRateChange(t *testing.T) {
+	n := settled(t, 4, large)
+	lower := Limit{Name: testLimit, RatePerSecond: 100, Burst: 20}
+	for _, v := range n.nodes {
+		v.m.SetLimits(n.now, []Limit{lower})
+		n.demandAt(300*time.Millisecond, 2000, n.nodes...)
+	}
+	n.limits, n.bound, n.boundAt = []Limit{lower}, lower.Burst, n.now
+	n.demandAt(3*time.Second, 2000, n.nodes...)
+	n.limits, n.bound = []Limit{large}, large.Burst
+	for _, v := range n.nodes {
+		v.m.SetLimits(n.now, []Limit{large})
+	}
+	n.demandAt(3*time.Second, 2000, n.nodes...)
+	n.run(time.Second) // transfers in flight arrive
+	require.EqualValues(t, TotalUnits, n.held(testLimit), "a change loses no units")
+}
+
+// Guards against a limit that starts only with the next epoch.
+func TestNewLimitWithinAnEpoch(t *testing.T) {
+	n := settled(t, 4, large)
+	added := Limit{Name: RegionLimit("r0"), RatePerSecond: 10, Burst: 10}
+	n.limits = append(n.limits, added)
+	for _, v := range n.nodes {
+		v.m.SetLimits(n.now, n.limits)
+	}
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits, n.held(added.Name))
+}
+
+// Guards against a report that changes when it is asked for again, and a
+// credit that is accepted twice.
+func TestReportOnceCreditOnce(t *testing.T) {
+	n := settled(t, 3, large)
+	v, writer := n.nodes[1], n.nodes[0].member
+	n.fate = func(packet) []time.Duration { return nil }
+	ask := func(kind *peerv1.Message) []Send { return v.m.Receive(n.now, writer, kind) }
+	request := &peerv1.Message{Kind: &peerv1.Message_ReconcileRequest{ReconcileRequest: &peerv1.ReconcileRequest{Epoch: 1, Round: 9, Limits: []string{testLimit}}}}
+	first := ask(request)
+	v.m.limits[testLimit].remove(n.now, 1000, 0)
+	require.True(t, proto.Equal(first[0].Message, ask(request)[0].Message))
+	before := v.m.limits[testLimit].units
+	credit := &peerv1.Message{Kind: &peerv1.Message_ReconcileCredit{ReconcileCredit: &peerv1.ReconcileCredit{
+		Epoch: 1, Round: 9, Holdings: []*peerv1.Holding{{Limit: testLimit, Units: 7}},
+	}}}
+	ask(credit)
+	ask(credit)
+	require.Equal(t, before+7, v.m.limits[testLimit].units)
+	credit.GetReconcileCredit().Round = 8
+	ask(credit)
+	require.Equal(t, before+7, v.m.limits[testLimit].units, "credit of an older round")
+}
+
+// Guards against an evicted VM that keeps its units because it learns of its
+// eviction only by its new incarnation in a later epoch.
+func TestNewIncarnationHoldsNothing(t *testing.T) {
+	n := settled(t, 3, large)
+	m := n.nodes[1].m
+	f := proto.Clone(n.fleet).(*peerv1.Fleet)
+	f.Epoch += 2
+	memberOf(f, "vm01").Incarnation = 2
+	m.EnterEpoch(n.now, f)
+	require.Zero(t, m.limits[testLimit].units)
+}
+
+// Guards against a refund that fills the bucket above its capacity.
+func TestRefundStaysWithinCapacity(t *testing.T) {
+	n := settled(t, 1, large)
+	m := n.nodes[0].m
+	require.True(t, m.Take(n.now, testLimit, 3).OK)
+	m.Refund(n.now, testLimit, 5)
+	require.InDelta(t, large.Burst, m.limits[testLimit].tokens, 1e-9)
+}
+
+// Guards against units or admissions above the limit under any order of
+// faults. The network checks both at every step.
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.SampledFrom([]Limit{large, {testLimit, 50, 25}, {testLimit, 10, 3}}).Draw(t, "limit")
+		n := newNetwork(t, rapid.IntRange(2, 5).Draw(t, "vms"), limit)
+		seed := rapid.Uint64().Draw(t, "network")
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		loss, copies := rnd.Float64()*0.3, rnd.Float64()*0.3
+		n.fate = func(packet) []time.Duration {
+			late := func() time.Duration { return time.Duration(rnd.ExpFloat64() * 60 * float64(time.Millisecond)) }
+			if rnd.Float64() < loss {
+				return nil
+			}
+			if rnd.Float64() < copies {
+				return []time.Duration{late(), 20 * late()}
+			}
+			return []time.Duration{late()}
+		}
+		live := func(t *rapid.T) *node {
+			var all []*node
+			for _, v := range n.nodes {
+				if !v.killed && !v.paused {
+					all = append(all, v)
+				}
+			}
+			if len(all) == 0 {
+				t.Skip()
+			}
+			return rapid.SampledFrom(all).Draw(t, "vm")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				v := live(t)
+				for range rapid.IntRange(1, 40).Draw(t, "tokens") {
+					n.take(v)
+				}
+			},
+			"run":  func(t *rapid.T) { n.run(time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond) },
+			"kill": func(t *rapid.T) { live(t).killed = true },
+			"pause": func(t *rapid.T) {
+				live(t).paused = true
+			},
+			"resume": func(t *rapid.T) {
+				for _, v := range n.nodes {
+					if v.paused {
+						v.paused = false
+						if !n.current(v) && rapid.Bool().Draw(t, "told") {
+							n.post(v, v.m.EnterEpoch(n.now, nil))
+						}
+					}
+				}
+			},
+			"join": func(t *rapid.T) {
+				if len(n.nodes) < 8 {
+					n.start()
+				}
+			},
+			"write": func(t *rapid.T) { n.write(live(t)) },
+			"enter": func(t *rapid.T) {
+				if v := live(t); n.current(v) {
+					n.enter(v, n.fleet)
+				}
+			},
+			"epoch": func(t *rapid.T) {
+				n.write(live(t))
+				for _, v := range slices.Clone(n.nodes) {
+					if n.current(v) {
+						n.run(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+						n.enter(v, n.fleet)
+					}
+				}
+			},
+			"hand over": func(t *rapid.T) {
+				v := live(t)
+				if !n.current(v) || rapid.IntRange(0, 3).Draw(t, "rare") > 0 {
+					t.Skip()
+				}
+				var to []string
+				for _, w := range n.fleet.GetMembers() {
+					to = append(to, w.Vm)
+				}
+				n.post(v, v.m.HandOver(n.now, to))
+			},
+		})
+	})
+}
