--- a/core/quota/asking.go
+++ b/core/quota/asking.go
@@ -15,6 +15,8 @@
 	// deniedMemory is how long a peer that could give nothing is not asked
 	// again for the same limit.
 	deniedMemory = 300 * time.Millisecond
+	// homeDeniedMemory is shorter, since units come back to the home.
+	homeDeniedMemory = 100 * time.Millisecond
 	// After all peers could give nothing, the next cycle of requests waits
 	// for a pause that doubles from minPause to maxPause.
 	minPause = 100 * time.Millisecond
@@ -26,7 +28,7 @@
 	// cycleInterval is the least time between cycles with answers outstanding.
 	cycleInterval = 10 * time.Millisecond
 	// minRateTime is the least time over which waiting requests make a rate.
-	minRateTime = 50 * time.Millisecond
+	minRateTime  = 50 * time.Millisecond
 	rateRequests = 4
 	// maxAsked bounds the peers asked in one cycle.
 	maxAsked = 16
@@ -68,8 +70,8 @@
 
 // waitingRate estimates the demand from the requests that wait beyond the first
 // rateRequests, in tokens per second. Few requests make no rate.
-func (a *asking) waitingRate(now time.Time, n float64) float64 {
-	return max(0, a.waiting(now)-n*rateRequests) / max(now.Sub(a.waitingFrom), minRateTime).Seconds()
+func (a *asking) waitingRate(now time.Time) float64 {
+	return max(0, a.waiting(now)-rateRequests) / max(now.Sub(a.waitingFrom), minRateTime).Seconds()
 }
 
 // busy tells whether a further cycle has to wait. While answers are
@@ -134,7 +136,7 @@
 	if m.leaving || len(m.peers) == 0 || s.units == TotalUnits || s.asking.busy(now) {
 		return nil
 	}
-	demand := max(s.demandUnits(now), s.unitsOfRate(s.asking.waitingRate(now, 1)))
+	demand := s.demandUnits(now)
 	need := int64(wanted(demand)) - int64(s.units)
 	if tokens > 0 {
 		tokens = min(max(tokens, s.asking.waiting(now), s.demand.perSecond(now)*tokenHorizon.Seconds()), s.limit.Burst)
@@ -205,11 +207,17 @@
 		return cmp.Or(cmp.Compare(b.surplus, a.surplus), cmp.Compare(b.units, a.units))
 	})
 	chosen := make([]candidate, 0, 4)
-	left := need
+	left, limit := need, maxAsked
+	if s.small && waiting && s.home >= 0 && now.Sub(s.hints[s.home].deniedAt) >= homeDeniedMemory {
+		chosen, limit = append(chosen, candidate{peer: s.home, surplus: need}), 2
+	}
 	for _, c := range all {
-		if left <= 0 || len(chosen) == maxAsked {
+		if left <= 0 || len(chosen) == limit {
 			break
 		}
+		if len(chosen) > 0 && c.peer == chosen[0].peer {
+			continue
+		}
 		if c.surplus == 0 {
 			// Without a surplus known, two peers are asked for all of it.
 			if len(chosen) >= 2 {
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -51,6 +51,8 @@
 	credited bool
 
 	asking asking
+	home   int        // index of Manager.peers, -1: this VM
+	small  bool       // unused units go to the home
 	hints  []peerHint // by index of Manager.peers
 	told   toldHint
 
@@ -108,9 +110,10 @@
 	return uint32(math.Ceil(tokens / s.limit.Burst * TotalUnits))
 }
 
-// demandUnits returns the recent demand in units.
+// demandUnits returns the recent demand in units. Requests that wait are not
+// yet part of the average.
 func (s *state) demandUnits(now time.Time) uint32 {
-	return s.unitsOfRate(s.demand.perSecond(now))
+	return s.unitsOfRate(max(s.demand.perSecond(now), s.asking.waitingRate(now)))
 }
 
 // unitsOfRate returns the units that earn the rate.
--- a/core/quota/manager.go
+++ b/core/quota/manager.go
@@ -63,20 +63,20 @@
 	limits map[string]*state
 	order  []*state // by name
 
-	fleet  *peerv1.Fleet // of the last epoch entered
-	member bool          // false after EnterEpoch(nil)
-	near   string        // region of this VM
-	peers  []*peer       // by VM id
-	future []early
+	fleet       *peerv1.Fleet // of the last epoch entered
+	member      bool          // false after EnterEpoch(nil)
+	incarnation uint64        // of this VM in the fleet
+	near        string        // region of this VM
+	peers       []*peer       // by VM id
+	future      []early
 
 	leaving bool
 	heirs   []string
 
-	hintTurn  int
-	hintAll   bool
-	enteredAt time.Time
-	rounds    rounds
-	scratch   []candidate
+	hintTurn int
+	hintAll  bool
+	rounds   rounds
+	scratch  []candidate
 }
 
 // New returns the Manager of the VM. It draws from rnd to spread load.
@@ -94,6 +94,7 @@
 		s.refill(now)
 		s.limit, s.configured = l, true
 		s.clamp()
+		m.setHome(s)
 	}
 	for _, s := range m.order {
 		if s.configured && !declared[s.limit.Name] {
@@ -109,6 +110,7 @@
 		return s
 	}
 	s := &state{limit: Limit{Name: name}, removedAt: now, filledAt: now, hints: make([]peerHint, len(m.peers))}
+	m.setHome(s)
 	m.limits[name] = s
 	at, _ := slices.BinarySearchFunc(m.order, name, func(s *state, n string) int { return cmp.Compare(s.limit.Name, n) })
 	m.order = slices.Insert(m.order, at, s)
@@ -189,7 +191,7 @@
 		} else if m.wantsMore(now, s) {
 			sends = append(sends, m.ask(now, s, 0)...)
 		} else {
-			sends = append(sends, m.pushPart(now, s)...)
+			sends = append(sends, m.goHome(now, s)...)
 		}
 	}
 	return sends
--- a/core/quota/reconcile.go
+++ b/core/quota/reconcile.go
@@ -46,7 +46,11 @@
 		m.member = m.member || f.GetEpoch() == m.fleet.GetEpoch()
 		return nil
 	}
-	m.fleet, m.member, m.enteredAt, m.hintAll = f, true, now, true
+	if self := memberOf(f, m.self); self.GetIncarnation() != m.incarnation {
+		m.dropAll()
+		m.incarnation = self.GetIncarnation()
+	}
+	m.fleet, m.member, m.hintAll = f, true, true
 	m.setPeers(f)
 	m.purge(now)
 	for _, s := range m.order {
@@ -62,11 +66,20 @@
 	return append(sends, m.replayEarly(now)...)
 }
 
+func memberOf(f *peerv1.Fleet, vm string) *peerv1.Member {
+	for _, v := range f.GetMembers() {
+		if v.GetVm() == vm {
+			return v
+		}
+	}
+	return nil
+}
+
 // dropAll gives up all units and tokens. What was recorded for the epoch stays,
 // so that a late ReconcileRequest gets the same answer.
 func (m *Manager) dropAll() {
 	// The last round number stays: a number must not be used again in an epoch.
-	m.member, m.rounds.open, m.future = false, nil, nil
+	m.member, m.rounds.open = false, nil
 	for _, s := range m.order {
 		s.units, s.tokens = 0, 0
 		s.asking = asking{}
@@ -116,6 +129,7 @@
 			}
 		}
 		s.hints = hints
+		m.setHome(s)
 	}
 }
 
--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -81,6 +81,9 @@
 	// The requester cannot know its demand yet when traffic has just moved to
 	// it: half of what is spare here saves it several round trips.
 	units = min(max(units, s.unitsFor(tokens), spareUnits/2), s.units)
+	if waiting && units < s.minMove() {
+		return 0, 0
+	}
 	if s.units-units < s.unitsFor(1) && !waiting && units > 0 {
 		units = s.units // the rest could not hold a token
 	}
@@ -126,24 +129,6 @@
 	return nil
 }
 
-// pushPart gives units that cannot hold a whole token, and that no request here
-// waits for, to the peer that holds most, so that such parts add up.
-func (m *Manager) pushPart(now time.Time, s *state) []Send {
-	if s.units == 0 || s.capacity() >= 1 || s.tokens < s.capacity() {
-		return nil
-	}
-	best := -1
-	for i := range s.hints {
-		if s.hints[i].units >= s.units && (best < 0 || s.hints[i].units > s.hints[best].units) {
-			best = i
-		}
-	}
-	if best < 0 || s.hints[best].units == s.units && m.self < m.peers[best].member.GetVm() {
-		return nil
-	}
-	return []Send{m.transfer(now, s, best, s.units, s.tokens)}
-}
-
 // HandOver gives all units to the named VMs, at a planned stop. Units that
 // arrive later are handed over by Tick.
 func (m *Manager) HandOver(now time.Time, to []string) []Send {
