--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -1,24 +1,401 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/core/lease"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+	"github.com/cassiawind/cassiawind/platform"
 )
 
+// requireNoGaps fails if a VM was without a lease after it first had one.
+func requireNoGaps(t *testing.T, s *sim, vms []string) {
+	t.Helper()
+	for _, vm := range vms {
+		require.Zero(t, s.nodes[vm].gaps, vm)
+	}
+}
+
+// others returns the VMs except those given.
+func (s *sim) others(except ...string) []string {
+	var out []string
+	for _, vm := range s.vms() {
+		if !strings.Contains(strings.Join(except, " "), vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (s *sim) kill(vms ...string) {
+	for _, vm := range vms {
+		s.nodes[vm].dead = true
+	}
+}
+
+func (s *sim) memberCount() int { return len(s.fleet().GetMembers()) }
+
 // Guards against a start in which joiners exclude each other on the row.
 func TestElevenVMsStartAtOnce(t *testing.T) {
 	for seed := range uint64(5) {
-		s := newSim(t, seed)
-		s.latency = func(from, to string) time.Duration {
-			if from[0] == to[0] {
-				return time.Millisecond
-			}
-			return 55 * time.Millisecond
+		s := startAll(t, seed, threeRegions())
+		last := s.epochs[len(s.epochs)-1]
+		require.EqualValues(t, 11, last.fleet.GetEpoch())
+		requireNoGaps(t, s, s.vms())
+		t.Log("last join after", last.at, "conflicts", s.calls["conflict"])
+	}
+}
+
+// Guards against a killed VM that stays in the fleet, and against survivors
+// that lose their lease meanwhile.
+func TestKilledVMIsEvicted(t *testing.T) {
+	for seed := range uint64(5) {
+		s := startAll(t, seed, threeRegions())
+		s.kill("b02")
+		took := s.runUntil(5*time.Second, "eviction", func() bool { return s.memberCount() == 10 })
+		s.run(5 * time.Second)
+		requireNoGaps(t, s, s.others("b02"))
+		t.Log("evicted after", took)
+	}
+}
+
+// Guards against a resumed VM that admits requests on a lease that has ended.
+func TestPausedVMIsInvalidAtOnce(t *testing.T) {
+	for _, pause := range []time.Duration{3200 * time.Millisecond, 30 * time.Second} {
+		s := startAll(t, 7, threeRegions())
+		n := s.nodes["a01"]
+		n.pause()
+		s.run(pause)
+		require.False(t, n.valid(), "before any message or tick")
+		n.resume()
+		if pause > 10*time.Second {
+			s.runUntil(2*time.Second, "it learns that it was evicted", func() bool { return n.evicted })
+			require.False(t, n.valid())
+		}
+	}
+}
+
+// Guards against an eviction of a VM that was silent for less than its lease.
+func TestShortPauseKeepsMembership(t *testing.T) {
+	s := startAll(t, 3, threeRegions())
+	epoch := s.fleet().GetEpoch()
+	s.nodes["c00"].pause()
+	s.run(2500 * time.Millisecond)
+	s.nodes["c00"].resume()
+	s.run(5 * time.Second)
+	require.Equal(t, epoch, s.fleet().GetEpoch())
+	require.Equal(t, 11, s.serving())
+}
+
+// Guards against a VM that keeps serving although nobody hears it, and against
+// a VM that serves without being granted.
+func TestOneWayCuts(t *testing.T) {
+	for _, outbound := range []bool{true, false} {
+		s := startAll(t, 11, threeRegions())
+		s.cut = func(from, to string) bool { return outbound && from == "b00" || !outbound && to == "b00" }
+		s.run(30 * time.Second)
+		require.False(t, s.nodes["b00"].valid())
+		require.False(t, s.isMember(s.nodes["b00"]), "outbound cut: evicted; inbound cut: removes itself")
+		require.Equal(t, 10, s.serving(s.others("b00")...))
+		requireNoGaps(t, s, s.others("b00"))
+	}
+}
+
+// Guards against lost leases when some pairs of VMs cannot talk.
+func TestPartialCut(t *testing.T) {
+	s := startAll(t, 12, threeRegions())
+	s.cut = func(from, to string) bool { return from+to == "a00b00" || from+to == "b00a00" || from+to == "c01a02" }
+	s.run(time.Minute)
+	require.Equal(t, 11, s.serving())
+	requireNoGaps(t, s, s.vms())
+	require.Equal(t, 11, s.memberCount())
+}
+
+// Guards against leases that depend on the store, also with two VMs lost.
+func TestStoreDownFifteenMinutes(t *testing.T) {
+	s := startAll(t, 13, threeRegions())
+	s.tableUp = false
+	s.run(5 * time.Minute)
+	s.kill("a00", "c02")
+	s.run(10 * time.Minute)
+	requireNoGaps(t, s, s.others("a00", "c02"))
+	s.tableUp = true
+	took := s.runUntil(10*time.Second, "evictions", func() bool { return s.memberCount() == 9 })
+	t.Log("evicted after", took)
+	requireNoGaps(t, s, s.others("a00", "c02"))
+}
+
+// Guards against leases by member grants that outlast a takeover of the row.
+func TestStoreDownTwentyMinutesEndsLeases(t *testing.T) {
+	s := startAll(t, 14, names("a", 3))
+	s.tableUp = false
+	s.run(18 * time.Minute)
+	require.Equal(t, 3, s.serving())
+	s.run(4 * time.Minute)
+	require.Equal(t, 0, s.serving())
+	s.tableUp = true
+	s.runUntil(30*time.Second, "leases return", func() bool { return s.serving() == 3 })
+}
+
+// Guards against votes during a store outage that deprive returning members
+// of their leases for the rest of it.
+func TestCutDuringStoreOutage(t *testing.T) {
+	s := startAll(t, 15, threeRegions())
+	s.tableUp = false
+	s.run(10 * time.Second)
+	s.cut = func(from, to string) bool { return (from[0] == 'b') != (to[0] == 'b') }
+	s.run(20 * time.Second)
+	require.Equal(t, 0, s.serving("b00", "b01", "b02", "b03"))
+	s.cut = func(string, string) bool { return false }
+	s.run(2 * time.Second)
+	require.Equal(t, 11, s.serving())
+}
+
+// Guards against changes that are repeated or lost when the store's answers
+// are lost after the writes took effect.
+func TestLostStoreAnswers(t *testing.T) {
+	for _, lost := range []float64{0.5, 1} {
+		s := newSim(t, 16)
+		s.loseAnswers = lost
+		for _, vm := range names("a", 5) {
+			s.start(vm, s.rate())
 		}
-		for _, vm := range threeRegions() {
+		s.runUntil(20*time.Second, "all serve", func() bool { return s.serving() == 5 })
+		s.kill("a03")
+		s.runUntil(10*time.Second, "eviction", func() bool { return s.memberCount() == 4 })
+		leaver := s.nodes["a01"]
+		leaver.do(func() Output { return leaver.m.Leave(leaver.local()) })
+		s.runUntil(10*time.Second, "leave", func() bool { return leaver.left })
+		require.False(t, leaver.valid())
+		require.EqualValues(t, 7, s.fleet().GetEpoch(), "5 joins, 1 eviction, 1 leave")
+	}
+}
+
+// Guards against leases lost by the survivors of several VMs lost at once, and
+// against evictions that wait for each other.
+func TestSeveralVMsLostAtOnce(t *testing.T) {
+	for _, lost := range [][]string{{"a00", "b01"}, {"a00", "b01", "c02"}, {"b00", "b01", "b02", "b03"}} {
+		s := startAll(t, 17, threeRegions())
+		s.kill(lost...)
+		want := 11 - len(lost)
+		took := s.runUntil(12*time.Second, "evictions", func() bool { return s.memberCount() == want })
+		s.run(5 * time.Second)
+		require.Equal(t, want, s.serving(s.others(lost...)...))
+		requireNoGaps(t, s, s.others(lost...))
+		t.Log(len(lost), "lost, all evicted after", took)
+	}
+}
+
+// Guards against two sides of a split that both serve, and against a split
+// that does not heal.
+func TestRegionsSplitInThree(t *testing.T) {
+	s := startAll(t, 18, threeRegions())
+	s.cut = func(from, to string) bool { return from[0] != to[0] }
+	s.cutTable = func(vm string) bool { return vm[0] != 'a' }
+	s.run(10 * time.Second)
+	require.Equal(t, 4, s.serving("a00", "a01", "a02", "a03"), "side of the store")
+	require.Equal(t, 4, s.serving())
+	requireNoGaps(t, s, names("a", 4))
+	s.cut = func(string, string) bool { return false }
+	s.cutTable = func(string) bool { return false }
+	s.run(10 * time.Second)
+	for _, vm := range s.vms() {
+		if s.nodes[vm].evicted {
 			s.start(vm, s.rate())
 		}
-		took := s.runUntil(8*time.Second, "all serve", func() bool { return s.serving() == 11 })
-		t.Log("all serve after", took, "conflicts", s.calls["conflict"], "row reads", s.calls["read "+RowKey])
 	}
+	s.runUntil(20*time.Second, "all serve", func() bool { return s.serving() == 11 && s.memberCount() == 11 })
+	requireNoGaps(t, s, names("a", 4))
+}
+
+// Guards against a fleet whose voters are lost as all VMs are replaced, with
+// one killed on the way.
+func TestRollingReplacement(t *testing.T) {
+	s := startAll(t, 19, threeRegions())
+	for i, vm := range threeRegions() {
+		s.start(vm+"x", s.rate())
+		s.runUntil(10*time.Second, "joined", func() bool { return s.nodes[vm+"x"].valid() })
+		if i == 5 {
+			s.kill(vm)
+		} else {
+			old := s.nodes[vm]
+			require.Zero(t, old.gaps)
+			old.do(func() Output { return old.m.Leave(old.local()) })
+			require.False(t, old.valid())
+		}
+		s.runUntil(10*time.Second, "removed", func() bool { return s.memberCount() == 11 })
+		delete(s.nodes, vm)
+	}
+	s.run(5 * time.Second)
+	require.Equal(t, 11, s.serving())
+	requireNoGaps(t, s, s.vms())
+}
+
+// Guards against a restarted process that holds the lease or the membership of
+// its former incarnation.
+func TestRestartIsNewIncarnation(t *testing.T) {
+	s := startAll(t, 20, threeRegions())
+	first := s.nodes["a02"]
+	s.kill("a02")
+	s.run(300 * time.Millisecond)
+	second := s.start("a02", s.rate())
+	took := s.runUntil(10*time.Second, "joined", func() bool { return second.valid() })
+	require.EqualValues(t, 2, second.self.GetIncarnation())
+	require.Contains(t, s.evictedAt, lease.IDOf(first.self))
+	require.Equal(t, 11, s.memberCount())
+	t.Log("serves again after", took)
+}
+
+// Guards against a process of a former incarnation that still runs.
+func TestStaleIncarnationIsEvicted(t *testing.T) {
+	s := startAll(t, 21, names("a", 3))
+	s.start("a00", 1)
+	s.runUntil(10*time.Second, "joined", func() bool { return s.serving() == 3 })
+	stale := New(&peerv1.Member{Vm: "a00", Incarnation: 1}, s.rnd)
+	require.True(t, stale.Receive(simEpoch, s.nodes["a01"].self, &peerv1.Message{
+		Kind: &peerv1.Message_EpochAnnounce{EpochAnnounce: &peerv1.EpochAnnounce{Fleet: s.fleet()}},
+	}).Evicted)
+}
+
+// Guards against a fleet that never restarts after a total loss, and against a
+// takeover before the former members' leases have ended.
+func TestTakeoverAfterTotalLoss(t *testing.T) {
+	s := startAll(t, 22, names("a", 3))
+	for _, vm := range s.vms() {
+		s.nodes[vm].pause()
+	}
+	s.start("b00", 0.975)
+	s.start("b01", 1.025)
+	s.run(21 * time.Minute)
+	require.Equal(t, 0, s.serving())
+	s.runUntil(3*time.Minute, "takeover", func() bool { return s.serving() == 2 })
+	for _, vm := range names("a", 3) {
+		s.nodes[vm].resume()
+	}
+	s.run(3 * time.Second)
+	require.Equal(t, 2, s.serving())
+	for _, vm := range names("a", 3) {
+		require.True(t, s.nodes[vm].evicted)
+	}
+}
+
+// Guards against a takeover by a VM that cannot reach the members, while they
+// serve on member grants alone.
+func TestNoTakeoverOfServingFleet(t *testing.T) {
+	s := startAll(t, 23, names("a", 3))
+	s.cut = func(from, to string) bool { return from[0] != to[0] }
+	s.start("b00", 1)
+	s.run(time.Hour)
+	require.Equal(t, 3, s.serving())
+	require.EqualValues(t, 3, s.fleet().GetEpoch())
+}
+
+// Guards against members that ignore the operator's reset, and against a reset
+// based on a row that has changed since it was read.
+func TestOperatorReset(t *testing.T) {
+	s := startAll(t, 24, names("a", 3))
+	s.kill("a00", "a01")
+	s.run(5 * time.Second)
+	write, next, err := PlanReset(s.rows[RowKey], "reset-1")
+	require.NoError(t, err)
+	require.Equal(t, s.fleet().GetEpoch()+1, next.GetEpoch())
+	require.NoError(t, s.apply(Op{Writes: []platform.Write{write}}).Err)
+	require.Error(t, s.apply(Op{Writes: []platform.Write{write}}).Err)
+	s.start("b00", 1)
+	s.runUntil(5*time.Second, "new fleet", func() bool { return s.nodes["b00"].valid() })
+	s.runUntil(30*time.Second, "old member", func() bool { return s.nodes["a02"].evicted })
+}
+
+// Guards against a lease after the last member has left, and against a fleet
+// that cannot start again from an empty row.
+func TestLastMemberLeaves(t *testing.T) {
+	s := startAll(t, 25, names("a", 2))
+	for _, vm := range names("a", 2) {
+		n := s.nodes[vm]
+		n.do(func() Output { return n.m.Leave(n.local()) })
+		require.False(t, n.valid())
+		s.runUntil(5*time.Second, "left", func() bool { return n.left })
+	}
+	require.Zero(t, s.memberCount())
+	s.start("b00", 1)
+	s.runUntil(5*time.Second, "new fleet", func() bool { return s.nodes["b00"].valid() })
+}
+
+// Guards against table traffic that grows with the fleet while all is well,
+// and against lease rows that are renewed without need.
+func TestTableTrafficAtRest(t *testing.T) {
+	for _, n := range []int{4, 11, 64} {
+		s := startAll(t, 26, names("a", n))
+		clear(s.calls)
+		s.run(time.Minute)
+		total := 0
+		for call, count := range s.calls {
+			require.NotContains(t, call, LeaseKeyPrefix)
+			total += count
+		}
+		require.Less(t, total, 120, "less than two calls per second")
+		require.Greater(t, total, 10, "the table is touched")
+		t.Log(n, "members:", s.calls)
+	}
+}
+
+// Guards against a lease that ends although member grants and the table's
+// together are enough, and shows operators what it rests on.
+func TestSnapshotBasis(t *testing.T) {
+	s := startAll(t, 27, threeRegions())
+	n := s.nodes["a00"]
+	require.Equal(t, BasisMembers, n.m.Snapshot(n.local()).Basis)
+	s.cut = func(from, to string) bool { return from == "b00" || to == "b00" || from[0] != to[0] }
+	s.cutTable = func(vm string) bool { return vm != "a00" }
+	s.run(4 * time.Second)
+	snapshot := n.m.Snapshot(n.local())
+	require.Equal(t, BasisTable, snapshot.Basis)
+	require.Equal(t, StateMember, snapshot.State)
+	require.True(t, snapshot.LeaseValid)
+	require.Len(t, snapshot.Members, s.memberCount())
+}
+
+// Guards against evictions in an epoch by voters that do not intersect a lease
+// of the preceding epoch: of members 1 to 5 four hold a quorum; when a sixth
+// joins, it and one member form one with the table.
+func TestAdjacentQuorumsCanBeDisjoint(t *testing.T) {
+	old := &peerv1.Fleet{Epoch: 5}
+	for _, vm := range names("a", 5) {
+		old.Members = append(old.Members, &peerv1.Member{Vm: vm, Incarnation: 1})
+	}
+	next := withJoined(old, &peerv1.Member{Vm: "a05", Incarnation: 1})
+	votes := lease.Tally{Table: true, Members: map[lease.ID]struct{}{}}
+	votes.Members[lease.ID{VM: "a04", Incarnation: 1}] = struct{}{}
+	votes.Members[lease.ID{VM: "a05", Incarnation: 1}] = struct{}{}
+	var c chain
+	c.learn(simEpoch, old)
+	c.learn(simEpoch.Add(10*time.Second), next)
+	require.True(t, c.current().voters.Quorate(votes))
+	sets, known := c.evictionSets(simEpoch.Add(14 * time.Second))
+	require.True(t, known)
+	require.False(t, quorateInAll(sets, votes), "not settled")
+	acked := map[lease.ID]uint64{}
+	for _, m := range next.GetMembers()[:4] {
+		acked[lease.IDOf(m)] = next.GetEpoch()
+	}
+	require.True(t, c.settle(simEpoch.Add(14*time.Second), acked))
+	sets, _ = c.evictionSets(simEpoch.Add(17 * time.Second))
+	require.False(t, quorateInAll(sets, votes), "a lease of the old epoch may be left")
+	sets, _ = c.evictionSets(simEpoch.Add(14*time.Second + lease.Promise))
+	require.True(t, quorateInAll(sets, votes))
+}
+
+// Guards against epochs that were skipped: their voters are not known.
+func TestEvictionWaitsAfterSkippedEpochs(t *testing.T) {
+	var c chain
+	c.learn(simEpoch, &peerv1.Fleet{Epoch: 3})
+	c.learn(simEpoch.Add(time.Second), &peerv1.Fleet{Epoch: 7})
+	_, known := c.evictionSets(simEpoch.Add(4 * time.Second))
+	require.False(t, known)
+	_, known = c.evictionSets(simEpoch.Add(time.Second + lease.Promise))
+	require.True(t, known)
 }
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -78,8 +78,9 @@
 	candidates map[lease.ID]*candidate
 	// validAt is the last time at which the lease was seen valid, or the time
 	// of the first entry.
-	validAt time.Time
-	lastErr error
+	validAt  time.Time
+	joinedAt time.Time // first entry
+	lastErr  error
 }
 
 // New returns the machine of an incarnation that is not a member yet. It joins
@@ -208,7 +209,7 @@
 func (m *Machine) enter(now time.Time, wasMember bool) {
 	if m.phase == phaseJoining {
 		m.phase = phaseMember
-		m.validAt = now
+		m.validAt, m.joinedAt = now, now
 	}
 	voters := m.chain.current().voters
 	m.table.removalInDoubt = false
--- a/core/fleet/sim_test.go
+++ b/core/fleet/sim_test.go
@@ -38,6 +38,7 @@
 	cut       func(from, to string) bool // true: the message is lost
 	cutTable  func(vm string) bool
 	loss, dup float64
+	late      float64 // probability that a message or a table call takes up to 10 s
 	latency   func(from, to string) time.Duration
 	jitter    time.Duration
 
@@ -189,17 +190,24 @@
 		copies = 2
 	}
 	for range copies {
-		delay := s.latency(from.self.GetVm(), send.To) + time.Duration(s.rnd.Int64N(int64(s.jitter)+1))
+		delay := s.latency(from.self.GetVm(), send.To) + s.lateness() + time.Duration(s.rnd.Int64N(int64(s.jitter)+1))
 		s.after(delay, func() {
 			to.do(func() Output { return to.m.Receive(to.local(), from.self, send.Message) })
 		})
 	}
 }
 
+func (s *sim) lateness() time.Duration {
+	if s.late == 0 || s.rnd.Float64() >= s.late {
+		return 0
+	}
+	return time.Duration(s.rnd.Int64N(int64(10 * time.Second)))
+}
+
 // call applies a table call in the middle of its latency.
 func (s *sim) call(n *node, op Op) {
 	delay := func() time.Duration {
-		return s.tableLatency/2 + time.Duration(s.rnd.Int64N(int64(s.tableJitter)+1))
+		return s.tableLatency/2 + s.lateness() + time.Duration(s.rnd.Int64N(int64(s.tableJitter)+1))
 	}
 	answer := func(r tableop.Result) {
 		r.ID = op.ID
@@ -277,7 +285,7 @@
 
 // check guards the safety property: an evicted incarnation has no lease.
 func (s *sim) check(n *node) {
-	if at, evicted := s.evictedAt[lease.IDOf(n.self)]; evicted && n.valid() {
+	if at, evicted := s.evictedAt[lease.IDOf(n.self)]; evicted && n.m.LeaseValid(n.local()) {
 		require.Failf(s.t, "evicted member holds a lease", "%v evicted at %v, valid at %v until %v",
 			n.self, at, s.now, n.m.LeaseUntil())
 	}
@@ -336,6 +344,8 @@
 	return count
 }
 
+func (s *sim) cutNone(string) bool { return false }
+
 func (s *sim) isMember(n *node) bool { return findMember(s.fleet(), lease.IDOf(n.self)) != nil }
 
 // names returns VM ids with a region prefix.
--- a/core/fleet/table.go
+++ b/core/fleet/table.go
@@ -255,7 +255,7 @@
 
 // needsTable reports whether member grants are not enough for the lease.
 func (m *Machine) needsTable(now time.Time) bool {
-	return m.phase == phaseMember && now.Sub(m.validAt) >= renewGrace &&
+	return m.phase == phaseMember && now.Sub(m.joinedAt) >= renewGrace &&
 		m.holder.MembersUntil().Sub(now) < renewBelow
 }
 
