--- a/entry/forward/body.go
+++ b/entry/forward/body.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// maxReplayBytes is the largest request body that is kept for another
-	// attempt. Larger ones stream and are not retried once a byte was read.
-	maxReplayBytes = 64 << 10
 	// maxReplayTotalBytes bounds the memory of all kept bodies of a process.
 	maxReplayTotalBytes = 32 << 20
 	// maxBookingBytes bounds the body of a booking with an Idempotency-Key,
