Load generator, demonstration and their checks

The promises that callers can see need a run that shows them broken or kept.

standin load plays callers at fixed open-loop rates, follows GET /v1/locate, repeats bookings with unknown outcome under their key, and compares what callers know with what the backend stand-in ran. Limits are checked over every window between the sending and the answer of requests, so that delays never look like an excess. standin demo-files writes the declarations and settings; standin/demo/run starts everything, publishes, kills one entry VM and stops another.

--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -105,6 +105,7 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		echo.Booking = bookingID(r, body)
 	}
+	w.Header().Set(headers.RequestID, echo.RequestID)
 	duration, reason := s.start(time.Now(), r, echo)
 	if reason != "" {
 		w.Header().Set(headers.Run, headers.NotRun)
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -30,7 +30,7 @@
 	flaggy.SetName(name)
 	flaggy.SetDescription(description)
 	flaggy.DisableCompletion()
-	commands := []command{newPlatform(), newBackend()}
+	commands := []command{newPlatform(), newBackend(), newLoad(), newDemoFiles(), newEvent(), newCall()}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
