--- a/core/routing/blocks.go
+++ b/core/routing/blocks.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"iter"
 	"math"
 	"net/netip"
+	"slices"
 
 	"github.com/gaissmai/bart"
 	"github.com/pkg/errors"
@@ -48,9 +50,15 @@
 
 // NewBlocks builds the table. The error is a *BlockError.
 func NewBlocks(entries []BlockEntry) (*Blocks, error) {
+	return BuildBlocks(slices.Values(entries))
+}
+
+// BuildBlocks builds the table from a sequence, which saves the memory of a slice
+// of all entries. The error is a *BlockError.
+func BuildBlocks(entries iter.Seq[BlockEntry]) (*Blocks, error) {
 	b := &Blocks{}
 	index := make(map[string]uint16)
-	for _, e := range entries {
+	for e := range entries {
 		if !e.Prefix.IsValid() || e.Prefix != e.Prefix.Masked() {
 			return nil, &BlockError{Prefix: e.Prefix, Err: ErrInvalidPrefix}
 		}
