core/admission: slots follow demand; queues have a bounded wait

Equal parts of the slots leave slots unused when VMs have uneven traffic. Part gives a VM slots by its demand, twice overcommitted; Demand counts what is offered, since requests in flight follow from the slots. MaxWait bounds queues under lasting overload.

--- a/core/admission/scheduler.go
+++ b/core/admission/scheduler.go
@@ -11,6 +11,7 @@
 	defaultQueuePerAccount = 256
 	defaultQueueTotal      = 1024
 	defaultServiceTime     = 20 * time.Millisecond
+	defaultMaxWait         = 500 * time.Millisecond
 	// serviceGain weighs one request in the average time in a slot.
 	serviceGain = 0.05
 	// idleAccounts is the number of accounts above which those without queue and
@@ -38,6 +39,7 @@
 	inUse    [classes]int
 	length   [classes]int
 	sequence uint64
+	demand   demand
 	// service is the average time in a slot, in seconds.
 	service float64
 }
@@ -55,6 +57,7 @@
 	cfg.QueuePerAccount = cmp.Or(cfg.QueuePerAccount, defaultQueuePerAccount)
 	cfg.QueueTotal = cmp.Or(cfg.QueueTotal, defaultQueueTotal)
 	cfg.ServiceTime = cmp.Or(cfg.ServiceTime, defaultServiceTime)
+	cfg.MaxWait = cmp.Or(cfg.MaxWait, defaultMaxWait)
 	return &Scheduler{
 		cfg:      cfg,
 		slots:    cfg.Slots,
@@ -75,6 +78,7 @@
 	if r.Cost <= 0 {
 		r.Cost = 1
 	}
+	s.demand.add(now, r.Cost)
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return Decision{Verdict: Rejected, Reason: ReasonDeadline}
 	}
@@ -90,6 +94,9 @@
 	if cautious := time.Duration(arrivalMargin * float64(wait)); s.tooLate(now, cautious, r.Deadline) {
 		return Decision{Verdict: Rejected, Reason: ReasonWait, RetryAfter: s.retryAfter(now, cautious, r.Deadline)}
 	}
+	if wait > s.cfg.MaxWait && s.slots > 0 {
+		return Decision{Verdict: Rejected, Reason: ReasonMaxWait, RetryAfter: max(minRetryAfter, wait-s.cfg.MaxWait)}
+	}
 	d := Decision{Verdict: Queued, ExpectedWait: wait}
 	if len(s.queued) >= s.cfg.QueueTotal {
 		if d.Displaced = s.displace(a); d.Displaced == nil {
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -29,6 +29,10 @@
 	QueuePerAccount int
 	// QueueTotal bounds all queues together; default 1024.
 	QueueTotal int
+	// MaxWait bounds the expected wait of a queued request even if its deadline is
+	// later; default 500 ms. Under lasting overload a longer queue raises the
+	// latency of all requests and serves no more of them.
+	MaxWait time.Duration
 	// ServiceTime is the expected time in a slot until requests have been
 	// measured; default 20 ms.
 	ServiceTime time.Duration
@@ -72,6 +76,8 @@
 	ReasonDeadline Reason = "deadline passed"
 	// ReasonWait means that the expected wait exceeds the remaining time.
 	ReasonWait Reason = "expected wait exceeds the deadline"
+	// ReasonMaxWait means that the expected wait exceeds Config.MaxWait.
+	ReasonMaxWait Reason = "expected wait exceeds the bound of the queue"
 	// ReasonQueueFull means that the account's queue is full.
 	ReasonQueueFull Reason = "queue of the account is full"
 	// ReasonOverload means that all queues together are full and that the
--- a/measure/trafficsim/experiments.go
+++ b/measure/trafficsim/experiments.go
@@ -13,6 +13,8 @@
 	{experimentFailure, RegionFailure},
 	{experimentStale, StaleMeasurement},
 	{experimentFairness, OverloadFairness},
+	{experimentSlots, SlotsPerVM},
+	{experimentAllLayers, OverloadAllLayers},
 }
 
 // All runs every experiment on both deployments with every seed.
