--- a/core/routing/bench_test.go
+++ b/core/routing/bench_test.go
@@ -57,6 +57,8 @@
 	return m.HeapAlloc
 }
 
+// BenchmarkLookup measures the block lookup alone, and with the ordering of the
+// entry VMs of a fleet of 11.
 func BenchmarkLookup(b *testing.B) {
 	entries := targetEntries(targetBlocks)
 	before := heap()
@@ -69,15 +71,34 @@
 	for i := range addresses {
 		addresses[i] = entries[(i*7919)%len(entries)].Prefix.Addr().Next()
 	}
-	b.ReportAllocs()
-	b.ResetTimer()
-	for i := range b.N {
-		if _, ok := blocks.Lookup(addresses[i&(1<<16-1)]); !ok {
+	lookup := func(b *testing.B, i int) string {
+		region, ok := blocks.Lookup(addresses[i&(1<<16-1)])
+		if !ok {
 			b.Fatal(addresses[i&(1<<16-1)])
 		}
+		return region
 	}
-	b.ReportMetric(float64(size)/(1<<20), "MiB")
-	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+	b.Run("block", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			lookup(b, i)
+		}
+		b.ReportMetric(float64(size)/(1<<20), "MiB")
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+	})
+	b.Run("block and order of VMs", func(b *testing.B) {
+		d := NewDirectory(fleetOf(11, siteNames[:3]...), nil)
+		var dst [maxChoices]EntryChoice
+		for _, name := range siteNames {
+			d.order(name)
+		}
+		b.ReportAllocs()
+		b.ResetTimer()
+		for i := range b.N {
+			d.Locate(dst[:0], Query{ClientRegion: lookup(b, i), CallerHash: mix(uint64(i))})
+		}
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "lookups/s")
+	})
 	runtime.KeepAlive(blocks)
 }
 
@@ -128,17 +149,22 @@
 }
 
 func BenchmarkLocate(b *testing.B) {
+	delays := map[string]float64{"b": 10, "c": 20, "d": 30, "e": 40}
 	for _, n := range []int{11, 64, 512} {
-		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
-			in := LocateInput{ClientRegion: "a", VMs: fleetOf(n, "a", "b", "c", "d", "e"), DelayMS: map[string]float64{"b": 10, "c": 20, "d": 30, "e": 40}}
-			callers := make([]string, 256)
-			for i := range callers {
-				callers[i] = strconv.Itoa(i)
+		vms := fleetOf(n, "a", "b", "c", "d", "e")
+		b.Run(fmt.Sprintf("function/vms=%d", n), func(b *testing.B) {
+			in := LocateInput{ClientRegion: "a", Caller: "10.0.0.1", VMs: vms, DelayMS: delays}
+			b.ReportAllocs()
+			for range b.N {
+				Locate(in)
 			}
+		})
+		b.Run(fmt.Sprintf("directory/vms=%d", n), func(b *testing.B) {
+			d := NewDirectory(vms, map[string]map[string]float64{"a": delays})
+			var dst [maxChoices]EntryChoice
 			b.ReportAllocs()
 			for i := range b.N {
-				in.Caller = callers[i&255]
-				Locate(in)
+				d.Locate(dst[:0], Query{ClientRegion: "a", CallerHash: mix(uint64(i))})
 			}
 		})
 	}
--- a/core/routing/locate_test.go
+++ b/core/routing/locate_test.go
@@ -114,3 +114,26 @@
 	require.InDelta(t, 200, moved(0.18), 60)
 	require.InDelta(t, 1000, moved(0), 100)
 }
+
+// Guards against a Directory that allocates per caller, or ignores the units of
+// the caller's account.
+func TestDirectory(t *testing.T) {
+	vms := fleetOf(11, "luzon", "visayas", "mindanao")
+	d := NewDirectory(vms, map[string]map[string]float64{"luzon": {"visayas": 55, "mindanao": 56}})
+	q := Query{ClientRegion: "luzon", Units: map[string]uint32{vms[3].VM: 1 << 20}}
+	first := 0
+	for i := range uint64(1000) {
+		q.CallerHash = mix(i)
+		c := d.Locate(nil, q)
+		require.Equal(t, "luzon", c[0].Region)
+		if c[0].VM == vms[3].VM {
+			require.Equal(t, ReasonHoldsUnits, c[0].Reason)
+			first++
+		}
+	}
+	require.Greater(t, first, 400)
+	dst := make([]EntryChoice, 0, maxChoices)
+	require.Zero(t, testing.AllocsPerRun(100, func() { d.Locate(dst, q) }))
+	q.Max = 100
+	require.Len(t, d.Locate(nil, q), len(vms))
+}
