--- /dev/null
+++ b/core/configsync/harness_test.go
@@ -0,0 +1,171 @@
+package configsync
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cassiawind/cassiawind/core/outbox"
+	"github.com/cassiawind/cassiawind/core/tableop"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+	"github.com/cassiawind/cassiawind/platform"
+)
+
+// TestMain fixes the seed and size of the rapid tests.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "500", "rapid.steps": "100"} {
+		_ = flag.Set(name, value)
+	}
+	// Values given on the command line take precedence.
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+// fault is what happens to a platform call.
+type fault int
+
+const (
+	noFault fault = iota
+	// refused: the call has no effect.
+	refused
+	// lostAnswer: the write takes effect and its answer is lost.
+	lostAnswer
+	// lateCall: the writer gets no answer and the write arrives later.
+	lateCall
+	faultCount
+)
+
+// store is the table's row and the object store.
+type store struct {
+	row     platform.Row
+	history []platform.Row
+	objects map[string][]byte
+	late    []platform.Write
+}
+
+func newStore() *store { return &store{objects: map[string][]byte{}} }
+
+func (s *store) call(op tableop.Op, f fault) tableop.Result {
+	r := tableop.Result{ID: op.ID}
+	switch {
+	case f == refused || len(op.Writes) == 0 && f != noFault:
+		r.Err = platform.ErrUnavailable
+	case len(op.Writes) == 0:
+		if s.row.Version > 0 {
+			r.Rows = []platform.Row{s.row}
+		}
+	case f == lateCall:
+		s.late = append(s.late, op.Writes[0])
+		r.Err = platform.ErrOutcomeUnknown
+	default:
+		r.Versions, r.Err = s.write(op.Writes[0])
+		if f == lostAnswer {
+			r.Versions, r.Err = nil, platform.ErrOutcomeUnknown
+		}
+	}
+	return r
+}
+
+func (s *store) write(w platform.Write) ([]uint64, error) {
+	if *w.IfVersion != s.row.Version {
+		return nil, &platform.ConflictError{Keys: []string{w.Key}}
+	}
+	s.row = platform.Row{Key: w.Key, Value: w.Value, Version: s.row.Version + 1}
+	s.history = append(s.history, s.row)
+	return []uint64{s.row.Version}, nil
+}
+
+func (s *store) arrive() {
+	for _, w := range s.late {
+		_, _ = s.write(w)
+	}
+	s.late = nil
+}
+
+func (s *store) version() uint64 {
+	current, _ := parseCurrent(s.row, s.row.Version > 0)
+	return current.Version
+}
+
+// perform executes a publisher's step and returns the next one.
+func (s *store) perform(p *Publish, step PublishStep, f fault) PublishStep {
+	switch step.Kind {
+	case PublishTable:
+		return p.TableResult(s.call(step.Op, f))
+	case PublishWait:
+		return p.Waited()
+	}
+	if f != noFault {
+		return p.ObjectResult(nil, platform.ErrUnavailable)
+	}
+	if step.Kind == PublishPutObject {
+		s.objects[step.Object] = step.Content
+	}
+	return p.ObjectResult(s.objects[step.Object], nil)
+}
+
+// publish runs a publication to its end; faults maps the number of a step, from
+// 0, to its fault.
+func (s *store) publish(p *Publish, faults map[int]fault) PublishStep {
+	step := p.Start()
+	for i := 0; step.Kind != PublishDone; i++ {
+		step = s.perform(p, step, faults[i])
+	}
+	return step
+}
+
+func files(contents ...string) []*peerv1.ConfigEntry {
+	var entries []*peerv1.ConfigEntry
+	for i, c := range contents {
+		if c != "" {
+			entries = append(entries, &peerv1.ConfigEntry{Name: fmt.Sprintf("%02d.json", i), Content: []byte(c)})
+		}
+	}
+	return entries
+}
+
+func texts(entries []*peerv1.ConfigEntry) []string {
+	var list []string
+	for _, e := range entries {
+		list = append(list, string(e.GetContent()))
+	}
+	return list
+}
+
+// read lets a VM read the row, and get the object if it wants it.
+func (s *store) read(now time.Time, v *Store, ops []tableop.Op, f fault) bool {
+	changed := false
+	for _, op := range ops {
+		name, fetch := v.TableResult(now, s.call(op, f))
+		if fetch {
+			changed = v.ObjectResult(now, name, s.objects[name], nil) || changed
+		}
+	}
+	return changed
+}
+
+func newVM(seed uint64) *Store { return New(rand.New(rand.NewPCG(seed, 1))) }
+
+// started returns a VM that has read the row and drawn the time of its next read.
+func (s *store) started(seed uint64) *Store {
+	v := newVM(seed)
+	s.read(start, v, v.Tick(start, 1), noFault)
+	v.Tick(start, 1)
+	return v
+}
+
+// exchange delivers messages between two VMs until none is left.
+func exchange(now time.Time, vms map[string]*Store, from string, sends []outbox.Send) bool {
+	changed := false
+	for _, send := range sends {
+		more, installed := vms[send.To].Receive(now, &peerv1.Member{Vm: from}, send.Message)
+		changed = installed || changed
+		changed = exchange(now, vms, send.To, more) || changed
+	}
+	return changed
+}
--- a/core/configsync/store.go
+++ b/core/configsync/store.go
@@ -143,6 +143,10 @@
 	if version <= s.version {
 		return false
 	}
+	if s.version == 0 {
+		// The time of the next read was drawn for a VM without a version.
+		s.reading.members = 0
+	}
 	s.version, s.digest, s.content = version, digest, c
 	s.full = false
 	return true
--- /dev/null
+++ b/core/configsync/store_test.go
@@ -0,0 +1,147 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/core/tableop"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+	"github.com/cassiawind/cassiawind/platform"
+)
+
+// twoVersions returns a store with two versions and a VM at each.
+func twoVersions(t *testing.T) (s *store, vms map[string]*Store) {
+	s = newStore()
+	require.NoError(t, s.publish(NewPublish(files("a", "b"), 0, "c1"), nil).Err)
+	vms = map[string]*Store{"old": s.started(1)}
+	require.NoError(t, s.publish(NewPublish(files("a", "c"), 1, "c2"), nil).Err)
+	vms["new"] = s.started(2)
+	return s, vms
+}
+
+// Guards against a VM that starts without a configuration while the store is
+// down although its peers have one.
+func TestStartWhileStoreIsDown(t *testing.T) {
+	s, vms := twoVersions(t)
+	v := newVM(3)
+	vms["start"] = v
+	require.False(t, s.read(start, v, v.Tick(start, 3), refused))
+	require.Zero(t, v.Version())
+	require.True(t, exchange(start, vms, "start", v.PeerVersion(start, "new", 2)))
+	require.EqualValues(t, 2, v.Version())
+	require.Equal(t, []string{"a", "c"}, texts(v.Entries()))
+}
+
+// Guards against a version that goes back because a reader serves an old row or
+// a peer sends an old update.
+func TestLowerVersionIsNotInstalled(t *testing.T) {
+	s, vms := twoVersions(t)
+	v := vms["new"]
+	now := start.Add(time.Hour)
+	op := v.Tick(now, 1)[0]
+	_, fetch := v.TableResult(now, tableop.Result{ID: op.ID, Rows: []platform.Row{s.history[0]}})
+	require.False(t, fetch)
+	old := vms["old"].answer("new", &peerv1.ConfigRequest{})[0]
+	_, changed := v.Receive(now, &peerv1.Member{Vm: "old"}, old.Message)
+	require.False(t, changed)
+	require.Empty(t, v.PeerVersion(now, "old", 1))
+	require.EqualValues(t, 2, v.Version())
+	// An object that arrives after a peer's higher version is not installed.
+	late := vms["old"]
+	op = late.Tick(now, 1)[0]
+	name, fetch := late.TableResult(now, s.call(op, noFault))
+	require.True(t, fetch)
+	require.NoError(t, s.publish(NewPublish(files("z"), 2, "c3"), nil).Err)
+	vms["newest"] = s.started(4)
+	require.True(t, exchange(now, vms, "old", late.PeerVersion(now, "newest", 3)))
+	require.False(t, late.ObjectResult(now, name, s.objects[name], nil))
+	require.EqualValues(t, 3, late.Version())
+}
+
+// Guards against a VM that stays behind after it was cut off, and against an
+// update that holds more than the difference.
+func TestCutOffAndBack(t *testing.T) {
+	_, vms := twoVersions(t)
+	v := vms["old"]
+	request := v.PeerVersion(start, "new", 2)
+	require.Len(t, request, 1)
+	require.Empty(t, v.PeerVersion(start, "new", 2), "one request at a time")
+	again := v.PeerVersion(start.Add(requestTimeout), "new", 2)
+	require.Len(t, again, 1, "a lost request is repeated")
+	sends, _ := vms["new"].Receive(start, &peerv1.Member{Vm: "old"}, again[0].Message)
+	require.Len(t, sends[0].Message.GetConfigUpdate().GetEntries(), 1)
+	require.True(t, exchange(start, vms, "new", sends))
+	require.Equal(t, vms["new"].Digest(), v.Digest())
+	require.Empty(t, v.PeerVersion(start.Add(time.Minute), "new", 2))
+}
+
+// Guards against content that was damaged or made for another base.
+func TestUpdateThatDoesNotFit(t *testing.T) {
+	s, vms := twoVersions(t)
+	from := &peerv1.Member{Vm: "new"}
+	for name, spoil := range map[string]func(u *peerv1.ConfigUpdate){
+		"base":    func(u *peerv1.ConfigUpdate) { u.FromVersion = 7 },
+		"content": func(u *peerv1.ConfigUpdate) { u.Entries = nil },
+		"version": func(u *peerv1.ConfigUpdate) { u.Version++ },
+		"digest":  func(u *peerv1.ConfigUpdate) { u.Digest = nil },
+	} {
+		v := vms["old"]
+		update := vms["new"].answer("old", &peerv1.ConfigRequest{HaveVersion: 1})[0].Message
+		spoil(update.GetConfigUpdate())
+		sends, changed := v.Receive(start, from, update)
+		require.False(t, changed, name)
+		require.EqualValues(t, 0, sends[0].Message.GetConfigRequest().GetHaveVersion(), name)
+		require.Len(t, sends, 1)
+	}
+	full := vms["new"].answer("old", &peerv1.ConfigRequest{})[0].Message
+	full.GetConfigUpdate().Entries = full.GetConfigUpdate().GetEntries()[:1]
+	sends, changed := vms["old"].Receive(start, from, full)
+	require.False(t, changed)
+	require.Empty(t, sends, "a bad full update does not lead to a loop of requests")
+	now := start.Add(time.Minute)
+	require.True(t, exchange(now, vms, "old", vms["old"].PeerVersion(now, "new", 2)))
+	// Objects are checked too, and fetched again after a failure.
+	v := newVM(9)
+	name, _ := v.TableResult(start, s.call(v.Tick(start, 1)[0], noFault))
+	require.False(t, v.ObjectResult(start, name, append([]byte{0}, s.objects[name]...), nil))
+	name, fetch := v.TableResult(now, s.call(v.Tick(now, 1)[0], noFault))
+	require.True(t, fetch)
+	require.False(t, v.ObjectResult(now, name, nil, platform.ErrUnavailable))
+	later := now.Add(time.Hour)
+	require.True(t, s.read(later, v, v.Tick(later, 1), noFault))
+}
+
+// Guards against reads of the row whose number grows with the fleet.
+func TestFleetReadsTwicePerSecond(t *testing.T) {
+	s := newStore()
+	require.NoError(t, s.publish(NewPublish(files("a"), 0, "c1"), nil).Err)
+	for _, n := range []int{1, 11, 256} {
+		var vms []*Store
+		for i := range n {
+			vms = append(vms, newVM(uint64(i)))
+		}
+		reads := 0
+		const seconds = 200
+		for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(100 * time.Millisecond) {
+			for _, v := range vms {
+				ops := v.Tick(now, n)
+				reads += len(ops)
+				s.read(now, v, ops, noFault)
+			}
+		}
+		require.InDelta(t, 2, float64(reads-n)/seconds, 0.35, "%d VMs", n)
+	}
+}
+
+func TestRow(t *testing.T) {
+	s, _ := twoVersions(t)
+	current, err := Row(s.call(tableop.Op{Reads: []string{CurrentKey}}, noFault))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, current.Version)
+	_, err = Row(tableop.Result{})
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	_, err = Row(tableop.Result{Err: platform.ErrUnavailable})
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+}
