core/quota: the state machine test opens rounds and drains buckets

The test did not notice a member that accepts transfers of an older round, because it never opened a round within an epoch.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -252,6 +252,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.SampledFrom([]Limit{large, {testLimit, 50, 25}, {testLimit, 10, 3}}).Draw(t, "limit")
 		n := newNetwork(t, rapid.IntRange(2, 5).Draw(t, "vms"), limit)
+		n.run(time.Second)
 		seed := rapid.Uint64().Draw(t, "network")
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		loss, copies := rnd.Float64()*0.3, rnd.Float64()*0.3
@@ -284,6 +285,15 @@
 					n.take(v)
 				}
 			},
+			"drain": func(t *rapid.T) { // a steady demand above the rate
+				v := live(t)
+				for range rapid.IntRange(1, 60).Draw(t, "steps") {
+					for range 1 + int(limit.RatePerSecond/200) {
+						n.take(v)
+					}
+					n.run(5 * time.Millisecond)
+				}
+			},
 			"run":  func(t *rapid.T) { n.run(time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond) },
 			"kill": func(t *rapid.T) { live(t).killed = true },
 			"pause": func(t *rapid.T) {
@@ -319,6 +329,13 @@
 					}
 				}
 			},
+			"round": func(t *rapid.T) {
+				for _, v := range n.nodes {
+					if m := v.m; n.current(v) && !v.killed && !v.paused && m.member && m.reconciler() == m.self && !m.inOpenRound(testLimit) && m.limits[testLimit].reconciled {
+						n.post(v, m.openRound(n.now, []string{testLimit}))
+					}
+				}
+			},
 			"hand over": func(t *rapid.T) {
 				v := live(t)
 				if !n.current(v) || rapid.IntRange(0, 3).Draw(t, "rare") > 0 {
