--- a/core/fleet/sim_test.go
+++ b/core/fleet/sim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cassiawind/cassiawind/core/lease"
 	"github.com/cassiawind/cassiawind/core/tableop"
@@ -44,7 +45,8 @@
 
 	evictedAt map[lease.ID]time.Duration
 	epochs    []epochWrite
-	traffic   map[string]int // messages by kind
+	messages  int // sent
+	bytes     int // sent
 }
 
 type epochWrite struct {
@@ -97,7 +99,7 @@
 		tableLatency: 20 * time.Millisecond, tableJitter: 10 * time.Millisecond,
 		cut: func(string, string) bool { return false }, cutTable: func(string) bool { return false },
 		latency: func(string, string) time.Duration { return 5 * time.Millisecond },
-		jitter:  5 * time.Millisecond, evictedAt: map[lease.ID]time.Duration{}, traffic: map[string]int{},
+		jitter:  5 * time.Millisecond, evictedAt: map[lease.ID]time.Duration{},
 	}
 }
 
@@ -181,7 +183,8 @@
 
 func (s *sim) deliver(from *node, send Send) {
 	to := s.nodes[send.To]
-	s.traffic[fmt.Sprintf("%T", send.Message.GetKind())]++
+	s.messages++
+	s.bytes += proto.Size(send.Message)
 	if to == nil || s.cut(from.self.GetVm(), send.To) || s.rnd.Float64() < s.loss {
 		return
 	}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,147 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ids(n int) (all []ID, voters Voters) {
+	var members []*peerv1.Member
+	for i := range n {
+		m := &peerv1.Member{Vm: fmt.Sprint(i), Incarnation: 1}
+		members = append(members, m)
+		all = append(all, IDOf(m))
+	}
+	return all, NewVoters(members)
+}
+
+func tally(table bool, members ...ID) Tally {
+	t := Tally{Table: table, Members: map[ID]struct{}{}}
+	for _, id := range members {
+		t.Members[id] = struct{}{}
+	}
+	return t
+}
+
+// Guards against two disjoint quorums in one epoch, for all sizes of the two
+// sides of a split.
+func TestQuorumsOfAnEpochIntersect(t *testing.T) {
+	for n := 1; n <= 64; n++ {
+		all, voters := ids(n)
+		for k := range n + 1 {
+			one, other := tally(true, all[:k]...), tally(false, all[k:]...)
+			require.False(t, voters.Quorate(one) && voters.Quorate(other), "%d of %d", k, n)
+		}
+	}
+}
+
+// Guards against weights other than those of the design page: of 11 VMs, 9
+// alone or 4 with the table are a quorum.
+func TestQuorumOfElevenVMs(t *testing.T) {
+	all, voters := ids(11)
+	require.Equal(t, 16, voters.Total())
+	require.True(t, voters.Quorate(tally(false, all[:9]...)))
+	require.False(t, voters.Quorate(tally(false, all[:8]...)))
+	require.True(t, voters.Quorate(tally(true, all[:4]...)))
+	require.False(t, voters.Quorate(tally(true, all[:3]...)))
+}
+
+// Guards against votes within the promise, and grants after a vote.
+func TestGranterNeverGrantsAndVotes(t *testing.T) {
+	all, voters := ids(3)
+	g := NewGranter()
+	require.False(t, g.Grant(start, all[1]), "no epoch entered")
+	g.Enter(start, 4, voters)
+	require.True(t, g.Grant(start, all[1]))
+	require.False(t, g.Vote(start.Add(Promise-1), all[1]))
+	require.True(t, g.Vote(start.Add(Promise), all[1]))
+	require.False(t, g.Grant(start.Add(time.Hour), all[1]))
+	g.Enter(start.Add(time.Hour), 4, voters)
+	require.False(t, g.Grant(start.Add(time.Hour), all[1]), "same epoch")
+	g.Enter(start.Add(time.Hour), 5, voters)
+	require.True(t, g.Grant(start.Add(time.Hour), all[1]))
+	require.False(t, g.Vote(start.Add(time.Hour+time.Second), all[1]))
+	require.False(t, g.Vote(start, ID{VM: "unknown"}))
+}
+
+// Guards against a promise that a clock 5% faster than the holder's ends
+// before the holder's lease.
+func TestPromiseCoversClockRates(t *testing.T) {
+	require.Greater(t, float64(Promise)/1.05, float64(Duration))
+	require.Greater(t, float64(TakeoverAfter)/1.05, float64(TableContactLimit))
+}
+
+// Guards against a table vote while the lease row is being renewed.
+func TestObservationRestartsOnChange(t *testing.T) {
+	var o Observation
+	_, ok := o.Vote(start.Add(time.Hour))
+	require.False(t, ok, "nothing read")
+	o.Seen(start, 0)
+	o.Seen(start.Add(3*time.Second), 9)
+	_, ok = o.Vote(start.Add(Promise))
+	require.False(t, ok)
+	version, ok := o.Vote(start.Add(3*time.Second + Promise))
+	require.True(t, ok)
+	require.EqualValues(t, 9, version)
+}
+
+// Guards against a lease that counts grants of later epochs, of VMs that are
+// not members, or from when the grant arrived.
+func TestHolderCountsGrants(t *testing.T) {
+	all, voters := ids(4)
+	h := NewHolder(all[0])
+	h.Enter(2, voters)
+	h.Contact(start)
+	h.Granted(all[0], 2, start)
+	h.Granted(all[1], 2, start)
+	h.Granted(all[2], 3, start)
+	h.Granted(ID{VM: "unknown"}, 2, start)
+	require.False(t, h.Valid(start), "2 of 6")
+	h.Granted(all[2], 1, start.Add(-time.Second))
+	h.Granted(all[3], 2, start.Add(-2*time.Second))
+	require.Equal(t, start.Add(time.Second), h.Until())
+	require.False(t, h.Valid(start.Add(time.Second)))
+	h.TableGranted(3, start)
+	require.Equal(t, start.Add(time.Second), h.Until())
+	h.TableGranted(2, start)
+	require.Equal(t, start.Add(3*time.Second), h.Until())
+	require.Equal(t, start.Add(time.Second), h.MembersUntil())
+}
+
+// Guards against a gap in the lease when the epoch changes, and against a sole
+// member's lease that outlasts the epoch.
+func TestLeaseOverEpochChange(t *testing.T) {
+	all, both := ids(2)
+	h := NewHolder(all[0])
+	h.Enter(1, both.Without(all[1]))
+	h.Contact(start)
+	h.Granted(all[0], 1, start)
+	require.Equal(t, start.Add(Duration), h.Until())
+	h.Enter(2, both)
+	require.Equal(t, start.Add(Duration), h.Until())
+	h.Granted(all[0], 2, start.Add(2*time.Second))
+	require.Equal(t, start.Add(Duration), h.Until(), "the other member has not granted")
+	h.Granted(all[1], 2, start.Add(2*time.Second))
+	require.Equal(t, start.Add(2*time.Second+Duration), h.Until())
+	h.Release()
+	require.False(t, h.Valid(start))
+}
+
+// Guards against a lease by member grants that outlasts a takeover.
+func TestContactLimitsLease(t *testing.T) {
+	all, voters := ids(1)
+	h := NewHolder(all[0])
+	h.Enter(1, voters)
+	h.Granted(all[0], 1, start)
+	require.False(t, h.Valid(start), "no contact")
+	h.Contact(start.Add(-TableContactLimit + time.Second))
+	h.Contact(start.Add(-TableContactLimit))
+	require.Equal(t, start.Add(time.Second), h.Until())
+}
