--- a/core/admission/scheduler.go
+++ b/core/admission/scheduler.go
@@ -11,6 +11,7 @@
 	defaultQueuePerAccount = 256
 	defaultQueueTotal      = 1024
 	defaultServiceTime     = 20 * time.Millisecond
+	defaultMaxWait         = 500 * time.Millisecond
 	// serviceGain weighs one request in the average time in a slot.
 	serviceGain = 0.05
 	// idleAccounts is the number of accounts above which those without queue and
@@ -38,6 +39,7 @@
 	inUse    [classes]int
 	length   [classes]int
 	sequence uint64
+	demand   demand
 	// service is the average time in a slot, in seconds.
 	service float64
 }
@@ -55,6 +57,7 @@
 	cfg.QueuePerAccount = cmp.Or(cfg.QueuePerAccount, defaultQueuePerAccount)
 	cfg.QueueTotal = cmp.Or(cfg.QueueTotal, defaultQueueTotal)
 	cfg.ServiceTime = cmp.Or(cfg.ServiceTime, defaultServiceTime)
+	cfg.MaxWait = cmp.Or(cfg.MaxWait, defaultMaxWait)
 	return &Scheduler{
 		cfg:      cfg,
 		slots:    cfg.Slots,
@@ -75,6 +78,7 @@
 	if r.Cost <= 0 {
 		r.Cost = 1
 	}
+	s.demand.add(now, r.Cost)
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return Decision{Verdict: Rejected, Reason: ReasonDeadline}
 	}
@@ -87,8 +91,11 @@
 	if a.length >= s.cfg.QueuePerAccount {
 		return Decision{Verdict: Rejected, Reason: ReasonQueueFull, RetryAfter: wait}
 	}
-	if !r.Deadline.IsZero() && s.tooLate(now, wait, r.Deadline) {
-		return Decision{Verdict: Rejected, Reason: ReasonWait, RetryAfter: s.retryAfter(now, wait, r.Deadline)}
+	if cautious := time.Duration(arrivalMargin * float64(wait)); s.tooLate(now, cautious, r.Deadline) {
+		return Decision{Verdict: Rejected, Reason: ReasonWait, RetryAfter: s.retryAfter(now, cautious, r.Deadline)}
+	}
+	if wait > s.cfg.MaxWait && s.slots > 0 {
+		return Decision{Verdict: Rejected, Reason: ReasonMaxWait, RetryAfter: max(minRetryAfter, wait-s.cfg.MaxWait)}
 	}
 	d := Decision{Verdict: Queued, ExpectedWait: wait}
 	if len(s.queued) >= s.cfg.QueueTotal {
@@ -130,6 +137,7 @@
 	for s.used() < s.slots && len(s.queued) > 0 {
 		w := s.next()
 		s.remove(w)
+		w.account.drains[w.class].admitted(now, w.account.queues[w.class].Len())
 		s.run(now, w.account, w.id, w.class, w.cost)
 		ids = append(ids, w.id)
 	}
