--- a/entry/server/stop.go
+++ b/entry/server/stop.go
@@ -15,6 +15,9 @@
 	stopStep = 100 * time.Millisecond
 	// closeTimeout bounds the closing of connections after the last request.
 	closeTimeout = 2 * time.Second
+	// announceMargin is added to the validity of lookup answers: peers learn
+	// of the stop by the next heartbeat, and may name this VM until then.
+	announceMargin = time.Second
 )
 
 // ErrInterrupted means that a planned stop ended with requests in flight.
@@ -36,7 +39,7 @@
 func (s *Server) stop(ctx context.Context) error {
 	validity := time.Duration(s.settings.LookupValidityMS) * time.Millisecond
 	timeout := time.Duration(s.settings.StopTimeoutMS) * time.Millisecond
-	machine := shutdown.New(shutdown.WithTimeout(validity, timeout))
+	machine := shutdown.New(shutdown.WithTimeout(validity+announceMargin, timeout))
 	started := time.Now()
 	machine.Begin(started)
 	ticker := time.NewTicker(stopStep)
