--- a/measure/cmd/measure/main.go
+++ b/measure/cmd/measure/main.go
@@ -1,4 +1,44 @@
-// Command measure is under construction.
+// Command measure runs all experiments, prints their figures as JSON lines and
+// as a table, and writes one plot for each experiment to the folder out. With
+// arguments it runs the experiments whose names begin with one of them.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cassiawind/cassiawind/measure"
+	"github.com/cassiawind/cassiawind/measure/quotasim"
+)
+
+const outDir = "out"
+
+// experiments lists the packages that have experiments, one a line.
+func experiments() []measure.Experiment {
+	return slices.Concat(
+		quotasim.Experiments(),
+	)
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(prefixes []string) error {
+	chosen := slices.DeleteFunc(experiments(), func(e measure.Experiment) bool {
+		return len(prefixes) > 0 && !slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(e.Name, p) })
+	})
+	figures := measure.RunAll(chosen)
+	if err := measure.WriteJSON(os.Stdout, figures); err != nil {
+		return err
+	}
+	if err := measure.WriteTable(os.Stdout, figures); err != nil {
+		return err
+	}
+	return measure.WritePlots(outDir, figures)
+}
--- a/measure/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package measure is under construction.
-package measure
