core/balance: avoid servers whose reports are missing beyond the bound

A server that stops reporting may be leaving. At most 20% can be ejected for that; the others kept their usual work. They now get work only if the servers that report are overloaded.

The experiment of the morning peak now includes the schedulers.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -20,6 +20,10 @@
 	choices = 2
 	// sampleTries bounds the random draws before all servers are compared.
 	sampleTries = 12
+	// unreportedPenalty applies to a server whose reports are missing and that the
+	// bound on ejections leaves in service: it may be leaving, so it gets work only
+	// if the others are overloaded.
+	unreportedPenalty = 10
 	// retryFull is short because slots and connections free up at the rate of
 	// responses.
 	retryFull = 100 * time.Millisecond
@@ -205,7 +209,11 @@
 	halfLife := min(b.cfg.ReportHalfLife, reportLatencies*turnover)
 	load := (float64(s.inFlight) + 1 + s.others(now, s.pool.ratio, halfLife, turnover)) /
 		(s.slots() * s.share(now, b.cfg.ColdStart))
-	return load * s.relativeLatency(now, b.median) * s.penalty(now)
+	score := load * s.relativeLatency(now, b.median) * s.penalty(now)
+	if b.reportMissing(now, s) {
+		score *= unreportedPenalty
+	}
+	return score
 }
 
 // Done ends a request placed by Pick.
--- a/core/balance/balancer_test.go
+++ b/core/balance/balancer_test.go
@@ -128,6 +128,26 @@
 	require.Equal(t, EjectNoReport, statusOf(b, epoch.Add(33*time.Second), "s3").Ejected)
 }
 
+// Guards against servers that stop reporting getting their usual work when there
+// are more of them than may be ejected.
+func TestMissingReportsBeyondTheBound(t *testing.T) {
+	b := newBalancer(10, 1)
+	reportAll(b, 10, "")(epoch)
+	last := epoch
+	each := func(now time.Time) {
+		if now.Sub(last) < time.Second {
+			return
+		}
+		last = now
+		for i := 4; i < 10; i++ {
+			b.Report(now, "s"+strconv.Itoa(i), Report{Slots: 8, InFlight: 2})
+		}
+	}
+	drive(b, epoch, 3*time.Second, time.Millisecond, steady, each)
+	sent := drive(b, epoch.Add(3*time.Second), 10*time.Second, time.Millisecond, steady, each)
+	require.Less(t, sent["s0"]+sent["s1"]+sent["s2"]+sent["s3"], 10_000*4/10/20)
+}
+
 // Guards against a stop of all measurements taking servers out of service.
 func TestAllReportsStop(t *testing.T) {
 	b := newBalancer(10, 1)
--- a/measure/trafficsim/calendar.go
+++ b/measure/trafficsim/calendar.go
@@ -29,7 +29,8 @@
 }
 
 // LookupsAtPeak measures lookups at the morning peak while one server of each
-// region is faulty: one slow, one with false reports, one silent.
+// region is faulty: one slow, one with false reports, one silent. All policies
+// have the same schedulers, retries and attempt time-outs.
 func LookupsAtPeak(d Deployment, seed uint64) []Figure {
 	results := make(map[string]peakResult)
 	for _, p := range policies {
@@ -52,6 +53,7 @@
 
 func runPeak(d Deployment, p policy, seed uint64) peakResult {
 	f := newFleet(d, p, peakLoad, seed)
+	f.limitSlots(true)
 	f.runUntil(faultsAt)
 	f.order[0].fault = faultSlow
 	f.order[1].fault = faultLying
--- a/measure/trafficsim/experiments.go
+++ b/measure/trafficsim/experiments.go
@@ -10,6 +10,7 @@
 var Experiments = []Experiment{
 	{experimentPeak, LookupsAtPeak},
 	{experimentLeaving, LeavingServer},
+	{experimentReports, ReportsStop},
 	{experimentFailure, RegionFailure},
 	{experimentStale, StaleMeasurement},
 	{experimentFairness, OverloadFairness},
