--- /dev/null
+++ b/measure/overhead/overhead.go
@@ -0,0 +1,300 @@
+// Package overhead measures what the entry process adds to a forwarded request,
+// against httputil.ReverseProxy in the same process, with the same backend
+// server and the same load.
+package overhead
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/configsync"
+	"github.com/cassiawind/cassiawind/declare"
+	"github.com/cassiawind/cassiawind/entry/control"
+	"github.com/cassiawind/cassiawind/entry/server"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+	"github.com/cassiawind/cassiawind/platform/memory"
+)
+
+const (
+	key = "overhead-key"
+	// readyTimeout bounds the start of the entry process.
+	readyTimeout = 20 * time.Second
+	// idleConns is the number of idle connections that the entry process keeps
+	// to a backend server.
+	idleConns = 64
+	// maxLatencyMicros is the range of the histograms.
+	maxLatencyMicros = 10_000_000
+)
+
+// Errors of a measurement.
+var (
+	ErrNotReady = errors.New("entry process was not ready in time")
+	ErrStatus   = errors.New("unexpected status of an answer")
+)
+
+// Config configures a measurement.
+type Config struct {
+	// Workers send one request after another; default 16.
+	Workers int
+	// Requests is the number of requests of a round; default 20000.
+	Requests int
+	// Rounds is the number of rounds of each target; default 6. The targets
+	// take turns, so that a drift of the machine meets both.
+	Rounds int
+	// BodyBytes is the size of an answer; default 1024.
+	BodyBytes int
+}
+
+// Result is the outcome for one target.
+type Result struct {
+	Target string `json:"target"`
+	// P50 and P99 are in microseconds, CPU in microseconds per request of the
+	// whole process: load, target and backend server.
+	P50 int64   `json:"p50_us"`
+	P99 int64   `json:"p99_us"`
+	CPU float64 `json:"cpu_us_per_request"`
+}
+
+type target struct {
+	name string
+	url  string
+	hist *hdrhistogram.Histogram
+	cpu  time.Duration
+	n    int
+}
+
+// Run measures a direct connection, the reverse proxy and the entry process.
+func Run(ctx context.Context, c Config) ([]Result, error) {
+	c = c.withDefaults()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	backend, err := listen(ctx, answer(c.BodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	proxy, err := listen(ctx, reverseProxy(backend))
+	if err != nil {
+		return nil, err
+	}
+	entry, err := startEntry(ctx, backend)
+	if err != nil {
+		return nil, err
+	}
+	targets := []*target{newTarget("direct", backend), newTarget("reverse proxy", proxy), newTarget("entry", entry)}
+	for round := range c.Rounds + 1 {
+		for _, t := range targets {
+			if err := t.round(ctx, c, round > 0); err != nil {
+				return nil, err
+			}
+		}
+	}
+	var out []Result
+	for _, t := range targets {
+		out = append(out, t.result())
+	}
+	return out, nil
+}
+
+func (c Config) withDefaults() Config {
+	set := func(v *int, d int) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	set(&c.Workers, 16)
+	set(&c.Requests, 20_000)
+	set(&c.Rounds, 6)
+	set(&c.BodyBytes, 1024)
+	return c
+}
+
+func newTarget(name, address string) *target {
+	return &target{name: name, url: "http://" + address + "/lots/7", hist: hdrhistogram.New(1, maxLatencyMicros, 3)}
+}
+
+// round sends the requests of one round. The first round only warms up.
+func (t *target) round(ctx context.Context, c Config, record bool) error {
+	transport := &http.Transport{MaxIdleConnsPerHost: c.Workers}
+	defer transport.CloseIdleConnections()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var failed error
+	before := cpuTime()
+	for range c.Workers {
+		group.Go(func() {
+			hist := hdrhistogram.New(1, maxLatencyMicros, 3)
+			err := t.send(ctx, transport, c.Requests/c.Workers, hist)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = err
+			}
+			if record {
+				t.hist.Merge(hist)
+				t.n += int(hist.TotalCount())
+			}
+		})
+	}
+	group.Wait()
+	if record {
+		t.cpu += cpuTime() - before
+	}
+	return failed
+}
+
+func (t *target) send(ctx context.Context, transport *http.Transport, n int, hist *hdrhistogram.Histogram) error {
+	for range n {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.url, nil)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		started := time.Now()
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if resp.StatusCode != http.StatusOK {
+			return errors.Wrap(ErrStatus, resp.Status)
+		}
+		if err := hist.RecordValue(max(1, time.Since(started).Microseconds())); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+func (t *target) result() Result {
+	return Result{
+		Target: t.name, P50: t.hist.ValueAtQuantile(50), P99: t.hist.ValueAtQuantile(99),
+		CPU: float64(t.cpu.Microseconds()) / float64(max(1, t.n)),
+	}
+}
+
+// cpuTime returns the user and system time of the process.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// answer is a backend server with a fixed answer.
+func answer(size int) http.Handler {
+	body := make([]byte, size)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			io.WriteString(w, `{"state":"serving","slots":1000,"in_flight":0}`)
+			return
+		}
+		w.Write(body)
+	})
+}
+
+func listen(ctx context.Context, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	srv := &http.Server{Handler: h}
+	go srv.Serve(l)
+	context.AfterFunc(ctx, func() { srv.Close() })
+	return l.Addr().String(), nil
+}
+
+// reverseProxy is the baseline. It keeps as many idle connections as the entry
+// process; with net/http's default of two it opens one for most requests.
+func reverseProxy(backend string) http.Handler {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: backend})
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}
+	return proxy
+}
+
+// startEntry runs an entry process with in-memory platform services and waits
+// until it is ready. It returns the callers' address.
+func startEntry(ctx context.Context, backend string) (string, error) {
+	platform := control.Platform{Table: memory.NewTable(), Objects: memory.NewObjects(), VMs: memory.NewVMs(0, nil)}
+	if err := publish(ctx, platform, backend); err != nil {
+		return "", err
+	}
+	addresses := make([]string, 3)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", errors.WithStack(err)
+		}
+		addresses[i] = l.Addr().String()
+		l.Close()
+	}
+	settings := declare.Settings{
+		VM: "vm1", Region: "r1", FailureDomain: "d1", CallerAddress: addresses[0], PeerAddress: addresses[1], OperatorAddress: addresses[2],
+		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10, LookupValidityMS: 5000, StopTimeoutMS: 60000,
+	}
+	go server.New(ctx, settings, platform, "overhead", logr.Discard()).Run(ctx, make(chan struct{}))
+	return addresses[0], waitReady(ctx, addresses[2])
+}
+
+func waitReady(ctx context.Context, operator string) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		resp, err := http.Get("http://" + operator + "/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return ErrNotReady
+}
+
+// publish makes a configuration with limits that the load never reaches the
+// accepted one.
+func publish(ctx context.Context, p control.Platform, backend string) error {
+	digest := sha256.Sum256([]byte(key))
+	content, err := json.Marshal(&declare.Config{
+		Accounts: []declare.Account{{Name: "acme", RatePerSecond: 1e6, Burst: 1e6}},
+		Keys:     []declare.Key{{Name: "k", Account: "acme", SHA256: hex.EncodeToString(digest[:])}},
+		Services: []declare.Service{{Name: "lotdesk", BackendServers: []declare.BackendServer{
+			{Name: "b1", Address: backend, Region: "r1", FailureDomain: "d1", Slots: 1000, Connections: 1000}}}},
+		Routes:  []declare.Route{{Name: "lots", PathPrefix: "/lots", Service: "lotdesk", Idempotent: true, DeadlineMS: 5000}},
+		Regions: []declare.Region{{Name: "r1", FailureDomains: []string{"d1"}, CapPerSecond: 1e6, CapBurst: 1e6, RampPerSecond: 1}},
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	plan := configsync.NewPublish([]*peerv1.ConfigEntry{{Name: "10.json", Content: content}}, 0, "overhead")
+	step := plan.Start()
+	for step.Kind != configsync.PublishDone {
+		switch step.Kind {
+		case configsync.PublishTable:
+			step = plan.TableResult(control.RunOp(ctx, p.Table, step.Op))
+		case configsync.PublishPutObject:
+			step = plan.ObjectResult(nil, p.Objects.Put(ctx, step.Object, step.Content))
+		default:
+			step = plan.Waited()
+		}
+	}
+	return step.Err
+}
