core/balance: RegionFailed tells that no server of a region can be reached

A failed region has more servers than the bound of 20% lets eject, so Pick alone keeps choosing some of them. RegionFailed gives the entry process what it needs for routing.SetFailed and ChooseInput.Exclude: all servers of the region have stopped reporting, while others report, or only fail requests. Tests of the package and of measure/trafficsim pass.

--- a/core/balance/balancer_test.go
+++ b/core/balance/balancer_test.go
@@ -329,3 +329,34 @@
 	}
 	require.Equal(t, 1, ejected)
 }
+
+// Guards against traffic for a region that has failed as a whole, of which only a
+// part of the servers may be ejected, and against the region never coming back.
+func TestRegionFailed(t *testing.T) {
+	b := New(Config{}, fixedRand(1))
+	servers := serversOf(6)
+	for i := range 3 {
+		servers[i].Region = "visayas"
+	}
+	b.SetServers(epoch, servers, 1)
+	reportAll(b, 6, "")(epoch)
+	now := epoch
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		for i := 3; i < 6; i++ {
+			b.Report(now, "s"+strconv.Itoa(i), Report{Slots: 8})
+		}
+	}
+	require.True(t, b.RegionFailed(now, "visayas"))
+	require.False(t, b.RegionFailed(now, "luzon"))
+	require.False(t, b.RegionFailed(now, "mindanao"))
+	b.Report(now, "s1", Report{Slots: 8})
+	require.False(t, b.RegionFailed(now, "visayas"))
+	for i := range 3 {
+		b.Report(now, "s"+strconv.Itoa(i), Report{Slots: 8})
+		for range deadResults {
+			b.Done(now.Add(time.Millisecond), "s"+strconv.Itoa(i), Outcome{Class: ClassConnectFailed})
+		}
+	}
+	require.True(t, b.RegionFailed(now, "visayas"))
+}
--- /dev/null
+++ b/core/balance/region.go
@@ -0,0 +1,32 @@
+package balance
+
+import (
+	"time"
+)
+
+// RegionFailed reports whether no server of a region can be reached: each one has
+// stopped reporting while servers elsewhere report, or has only failed requests
+// since its last report. It is false if the region has no servers, and again as
+// soon as one of them reports. Leaving and draining servers are not counted.
+func (b *Balancer) RegionFailed(now time.Time, region string) bool {
+	p := b.pools[region]
+	if p == nil {
+		return false
+	}
+	counted := 0
+	for _, s := range p.servers {
+		if s.leaving || s.Draining {
+			continue
+		}
+		if !b.unreachable(now, s) {
+			return false
+		}
+		counted++
+	}
+	return counted > 0
+}
+
+func (b *Balancer) unreachable(now time.Time, s *server) bool {
+	onlyFails := s.timeoutsOnly >= deadResults && (!s.reported || s.resultAt.After(s.report.At))
+	return onlyFails || b.reportMissing(now, s)
+}
