--- /dev/null
+++ b/measure/cmd/overhead/main.go
@@ -0,0 +1,31 @@
+// Command overhead prints the time and processor time that the entry process
+// adds to a forwarded request, as JSON lines.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/cassiawind/cassiawind/measure/overhead"
+)
+
+func main() {
+	results, err := overhead.Run(context.Background(), overhead.Config{})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "overhead:", err)
+		os.Exit(1)
+	}
+	out := json.NewEncoder(os.Stdout)
+	for _, r := range results {
+		if err := out.Encode(r); err != nil {
+			os.Exit(1)
+		}
+	}
+	proxy, entry := results[1], results[2]
+	fmt.Printf("entry against reverse proxy: p50 %.2f, p99 %.2f, CPU %.2f times (target 1.15 for p50 and CPU)\n",
+		ratio(entry.P50, proxy.P50), ratio(entry.P99, proxy.P99), entry.CPU/proxy.CPU)
+}
+
+func ratio(a, b int64) float64 { return float64(a) / float64(b) }
