core/fleet: cached membership; table answers given up before the write takes effect

Cause: each message scanned the member list, and the simulated table never answered with an unknown outcome before applying the write. Change: the machine caches whether it is a member; the simulation also loses answers of writes that take effect later.

--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -65,6 +65,7 @@
 	out   Output
 
 	current   *peerv1.Fleet // latest epoch known, member or not
+	member    bool          // whether current contains this incarnation
 	enteredAt time.Time
 	chain     chain
 	acked     map[lease.ID]uint64
@@ -145,7 +146,8 @@
 func (m *Machine) LeaseValid(now time.Time) bool { return now.Before(m.LeaseUntil()) }
 
 // LeaseUntil returns the end of the lease known now, or the zero time. The
-// caller may admit without further calls until then.
+// caller may admit until then without further calls to the machine; after any
+// other call it reads the time again.
 func (m *Machine) LeaseUntil() time.Time {
 	if m.phase != phaseMember {
 		return time.Time{}
@@ -163,7 +165,7 @@
 }
 
 func (m *Machine) isMember() bool {
-	return m.phase != phaseDone && m.current != nil && findMember(m.current, m.id) != nil
+	return m.phase != phaseDone && m.member
 }
 
 func (m *Machine) flush() Output {
@@ -191,10 +193,10 @@
 	m.table.rowVersion = version
 	m.chain.learn(now, f)
 	m.resetVotes()
-	member := findMember(f, m.id) != nil
-	m.out.EpochChanged = m.out.EpochChanged || member || wasMember
+	m.member = findMember(f, m.id) != nil
+	m.out.EpochChanged = m.out.EpochChanged || m.member || wasMember
 	switch {
-	case member:
+	case m.member:
 		m.enter(now, wasMember)
 	case wasMember:
 		m.removed()
--- a/core/fleet/sim_test.go
+++ b/core/fleet/sim_test.go
@@ -211,6 +211,10 @@
 		r.ID = op.ID
 		s.after(delay(), func() { n.do(func() Output { return n.m.TableResult(n.local(), r) }) })
 	}
+	if len(op.Writes) > 0 && s.rnd.Float64() < s.loseAnswers/2 { // given up before it takes effect
+		answer(tableop.Result{Err: platform.ErrOutcomeUnknown})
+		answer = func(tableop.Result) {}
+	}
 	s.after(delay(), func() {
 		if !s.tableUp || s.cutTable(n.self.GetVm()) {
 			answer(tableop.Result{Err: platform.ErrUnavailable})
