entry: faults found in review; liveness, regions and lookups use the core packages

Causes and changes: - The state machines shared one random source under different locks; each has its own. - Hints were made every 100 ms and sent every 500 ms, so four of five were lost; they now wait for the next heartbeat. - Requests that wait for quota units were not woken after a tick or a new configuration. - Epoch, units and lease of one fleet step changed under separate locks; now under one. - Answers to an earlier incarnation were delivered to the new one, and queued messages were sent in its name. - Idle, replaced and silent peer connections and queues of gone VMs were never closed. - A request cancelled at the moment it was given up lowered the count in flight twice. - Run did not return when its context ended and left listeners open. - core/membership adds probes to the liveness of lookups; core/routing.Directory answers them; Regions gets SetFailed and Measure from the health polls.

--- a/entry/control/config.go
+++ b/entry/control/config.go
@@ -11,6 +11,9 @@
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 )
 
+// seedsAsked is the number of VMs asked for the configuration at once.
+const seedsAsked = 2
+
 func (c *Control) runConfigOp(op tableop.Op) {
 	result := c.runOp(op)
 	now := time.Now()
@@ -82,6 +85,7 @@
 func (c *Control) install(p *policy.Policy) {
 	c.quotaMu.Lock()
 	c.quota.SetLimits(time.Now(), p.Limits)
+	c.wakeWaiters()
 	c.quotaMu.Unlock()
 	for _, f := range c.onPolicy {
 		f(p)
@@ -117,35 +121,46 @@
 	}
 }
 
+// readSeeds keeps the last list if the VM list is not available.
 func (c *Control) readSeeds() {
 	ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
 	vms, err := c.platform.VMs.List(ctx)
 	cancel()
-	if err != nil {
-		c.log.V(1).Info("VM list not read", "error", err.Error())
-		return
-	}
-	seeds := map[string]*peerv1.Member{}
-	for _, vm := range vms {
-		if vm.ID != c.Self().Vm {
-			seeds[vm.ID] = &peerv1.Member{Vm: vm.ID, PeerAddress: vm.Address}
+	c.mu.Lock()
+	if err == nil {
+		c.seeds = map[string]*peerv1.Member{}
+		for _, vm := range vms {
+			if vm.ID != c.Self().Vm {
+				c.seeds[vm.ID] = &peerv1.Member{Vm: vm.ID, PeerAddress: vm.Address}
+			}
 		}
+		c.setSeeds(time.Now())
+	}
+	var asked []outbox.Send
+	// A VM that is not a member gets no heartbeats, and would not learn of
+	// changes while the table is down.
+	if c.store.Version() == 0 || c.fleet.Fleet() == nil {
+		asked = c.configRequests()
 	}
-	c.mu.Lock()
-	c.seeds = seeds
-	without := c.store.Version() == 0
 	c.mu.Unlock()
-	if without {
-		c.requestConfig(seeds)
+	if err != nil {
+		c.log.V(1).Info("VM list not read", "error", err.Error())
 	}
+	c.sender.Send(asked)
 }
 
-// requestConfig asks one peer for the whole configuration.
-func (c *Control) requestConfig(seeds map[string]*peerv1.Member) {
-	for vm := range seeds {
-		c.sender.Send([]outbox.Send{{To: vm, Message: &peerv1.Message{
-			Kind: &peerv1.Message_ConfigRequest{ConfigRequest: &peerv1.ConfigRequest{}},
-		}}})
-		return
+// configRequests asks two listed VMs for the configuration, since one of them
+// may be gone. It needs mu.
+func (c *Control) configRequests() []outbox.Send {
+	var sends []outbox.Send
+	// The order of a map's range differs between calls.
+	for vm := range c.seeds {
+		sends = append(sends, outbox.Send{To: vm, Message: &peerv1.Message{
+			Kind: &peerv1.Message_ConfigRequest{ConfigRequest: &peerv1.ConfigRequest{HaveVersion: c.store.Version()}},
+		}})
+		if len(sends) == seedsAsked {
+			break
+		}
 	}
+	return sends
 }
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/cassiawind/cassiawind/core/configsync"
 	"github.com/cassiawind/cassiawind/core/fleet"
+	"github.com/cassiawind/cassiawind/core/membership"
 	"github.com/cassiawind/cassiawind/core/outbox"
 	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/core/tableop"
@@ -31,8 +33,25 @@
 	tableTimeout = 2 * time.Second
 	// objectTimeout bounds the reading of one configuration object.
 	objectTimeout = 10 * time.Second
+	// hintDelay is the time after a heartbeat at which the hints of the next
+	// one are made, a little before it is due. Hints made more often would be
+	// taken as told to the peers without having been sent.
+	hintDelay = 400 * time.Millisecond
 )
 
+// Streams of the random numbers of an incarnation. The machines are used under
+// different locks, so that each needs a source of its own.
+const (
+	fleetStream = iota
+	storeStream
+	quotaStream
+	membershipStream
+)
+
+func newRand(incarnation, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(incarnation, stream))
+}
+
 // Sender queues messages for peers.
 type Sender interface {
 	Send([]outbox.Send)
@@ -54,10 +73,14 @@
 	base     time.Time
 	sender   Sender
 
-	mu      sync.Mutex
-	fleet   *fleet.Machine
-	store   *configsync.Store
-	info    fleet.HeartbeatInfo
+	// mu is locked before quotaMu.
+	mu         sync.Mutex
+	fleet      *fleet.Machine
+	membership *membership.Machine
+	store      *configsync.Store
+	info       fleet.HeartbeatInfo
+	// beatAt is the time of the last heartbeats.
+	beatAt  time.Time
 	seeds   map[string]*peerv1.Member
 	members map[string]*peerv1.Member
 	// leavingPeers holds members that announced a planned stop.
@@ -80,12 +103,12 @@
 
 // New returns a Control whose goroutines end with ctx.
 func New(ctx context.Context, self *peerv1.Member, p Platform, log logr.Logger) *Control {
-	seed := rand.NewPCG(self.Incarnation, 0)
 	c := &Control{
 		platform: p, log: log, ctx: ctx, base: time.Now(),
-		fleet:        fleet.New(self, rand.New(seed)),
-		store:        configsync.New(rand.New(seed)),
-		quota:        quota.New(self.Vm, rand.New(seed)),
+		fleet:        fleet.New(self, newRand(self.Incarnation, fleetStream)),
+		membership:   membership.New(self, newRand(self.Incarnation, membershipStream)),
+		store:        configsync.New(newRand(self.Incarnation, storeStream)),
+		quota:        quota.New(self.Vm, newRand(self.Incarnation, quotaStream)),
 		seeds:        map[string]*peerv1.Member{},
 		members:      map[string]*peerv1.Member{},
 		leavingPeers: map[string]bool{},
@@ -124,24 +147,53 @@
 
 func (c *Control) tick(now time.Time) {
 	c.quotaMu.Lock()
-	hints := c.quota.Hints(now)
 	sends := c.quota.Tick(now)
+	// The bucket has earned tokens, and Tick may have asked for units.
+	c.wakeWaiters()
 	c.quotaMu.Unlock()
 	c.sender.Send(sends)
 
 	c.mu.Lock()
-	c.info.Hints = hints
-	c.info.ConfigVersion = c.store.Version()
-	c.fleet.SetInfo(c.info)
-	machine := c.fleet
-	out := machine.Tick(now)
+	c.prepareHeartbeat(now)
+	sends = c.membership.Tick(now)
 	ops := c.store.Tick(now, len(c.members))
 	c.mu.Unlock()
-
-	c.apply(now, machine, out)
+	c.sender.Send(sends)
 	for _, op := range ops {
 		go c.runConfigOp(op)
 	}
+	c.sender.Send(c.step(now, func(m *fleet.Machine) fleet.Output { return m.Tick(now) }))
+}
+
+// prepareHeartbeat sets what the next heartbeats carry. It needs mu.
+func (c *Control) prepareHeartbeat(now time.Time) {
+	if now.Sub(c.beatAt) >= hintDelay {
+		c.quotaMu.Lock()
+		c.info.Hints = mergeHints(c.info.Hints, c.quota.Hints(now))
+		c.quotaMu.Unlock()
+	}
+	c.info.ConfigVersion = c.store.Version()
+	c.fleet.SetInfo(c.info)
+}
+
+// mergeHints returns the hints that wait for a heartbeat, the newer ones in
+// place of older ones of the same limit.
+func mergeHints(waiting, newer []*peerv1.QuotaHint) []*peerv1.QuotaHint {
+	if len(waiting) == 0 {
+		return newer
+	}
+	told := make(map[string]bool, len(newer))
+	for _, h := range newer {
+		told[h.Limit] = true
+	}
+	// Heartbeats on their way may share the slice of the waiting ones.
+	merged := append([]*peerv1.QuotaHint(nil), newer...)
+	for _, h := range waiting {
+		if !told[h.Limit] {
+			merged = append(merged, h)
+		}
+	}
+	return merged
 }
 
 // Receive implements peers.Handler.
@@ -156,6 +208,10 @@
 	case *peerv1.Message_Heartbeat:
 		sends := c.receiveHeartbeat(now, from, kind.Heartbeat)
 		return append(sends, c.receiveFleet(now, from, msg)...)
+	case *peerv1.Message_Ping, *peerv1.Message_PingAck, *peerv1.Message_PingRequest:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.membership.Receive(now, from, msg)
 	default:
 		return c.receiveFleet(now, from, msg)
 	}
@@ -165,7 +221,13 @@
 	c.quotaMu.Lock()
 	defer c.quotaMu.Unlock()
 	sends := c.quota.Receive(now, from, msg)
-	c.wakeWaiters()
+	switch msg.Kind.(type) {
+	case *peerv1.Message_QuotaRequest, *peerv1.Message_ReconcileRequest:
+		// These bring nothing. Each further call of Take by a waiting request
+		// would count as further demand.
+	default:
+		c.wakeWaiters()
+	}
 	return sends
 }
 
@@ -185,6 +247,10 @@
 	c.quotaMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.members[from.Vm].GetIncarnation() != from.Incarnation {
+		// Not a member, or an earlier incarnation of one.
+		return c.store.PeerVersion(now, from.Vm, hb.ConfigVersion)
+	}
 	c.leavingPeers[from.Vm] = hb.Leaving
 	c.peerVersions[from.Vm] = hb.ConfigVersion
 	for _, h := range hb.Hints {
@@ -197,51 +263,61 @@
 }
 
 func (c *Control) receiveFleet(now time.Time, from *peerv1.Member, msg *peerv1.Message) []outbox.Send {
-	c.mu.Lock()
-	machine := c.fleet
-	out := machine.Receive(now, from, msg)
-	c.mu.Unlock()
-	sends := out.Sends
-	out.Sends = nil
-	c.apply(now, machine, out)
-	return sends
+	return c.step(now, func(m *fleet.Machine) fleet.Output { return m.Receive(now, from, msg) })
 }
 
-// apply carries out what a fleet machine asked for.
-func (c *Control) apply(now time.Time, machine *fleet.Machine, out fleet.Output) {
+// step runs a step of the fleet machine, starts its table calls and returns its
+// messages. What follows from the step happens under the same lock, so that
+// other goroutines see epoch, units and lease change together.
+func (c *Control) step(now time.Time, f func(*fleet.Machine) fleet.Output) []outbox.Send {
 	c.mu.Lock()
-	c.leaseUntil.Store(int64(c.fleet.LeaseUntil().Sub(c.base)))
-	var sends []outbox.Send
+	defer c.mu.Unlock()
+	machine := c.fleet
+	out := f(machine)
+	c.leaseUntil.Store(int64(machine.LeaseUntil().Sub(c.base)))
 	if out.EpochChanged || out.Evicted {
-		// The current fleet is read under the lock, so that concurrent calls
-		// enter epochs in their order.
-		sends = c.enterEpoch(now, c.fleet.Fleet())
-	}
-	c.mu.Unlock()
-	if out.Evicted {
-		c.restart(now)
+		out.Sends = append(c.enterEpoch(now, machine.Fleet()), out.Sends...)
 	}
 	if out.Left {
 		c.left.Store(true)
 	}
-	c.sender.Send(sends)
-	c.sender.Send(out.Sends)
+	if hasHeartbeat(out.Sends) {
+		c.beatAt, c.info.Hints = now, nil
+	}
 	for _, op := range out.Table {
 		go c.runFleetOp(machine, op)
 	}
+	if out.Evicted {
+		c.restart(now)
+		// The messages would carry the new incarnation as their sender.
+		return nil
+	}
+	return out.Sends
+}
+
+func hasHeartbeat(sends []outbox.Send) bool {
+	for _, s := range sends {
+		if _, ok := s.Message.GetKind().(*peerv1.Message_Heartbeat); ok {
+			return true
+		}
+	}
+	return false
 }
 
 // restart continues as a new incarnation after an eviction. It holds nothing
-// and joins again.
+// and joins again. It needs mu.
 func (c *Control) restart(now time.Time) {
 	self := proto.CloneOf(c.self.Load())
 	c.log.Info("evicted from the fleet; joining as a new incarnation", "incarnation", self.Incarnation)
-	self.Incarnation = uint64(now.UnixNano())
-	seed := rand.NewPCG(self.Incarnation, 0)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	self.Incarnation = max(self.Incarnation+1, uint64(now.UnixNano()))
 	c.self.Store(self)
-	c.fleet = fleet.New(self, rand.New(seed))
+	c.fleet = fleet.New(self, newRand(self.Incarnation, fleetStream))
+	c.membership = membership.New(self, newRand(self.Incarnation, membershipStream))
+	if c.info.Leaving {
+		c.membership.SetLeaving()
+	}
+	c.setSeeds(now)
+	c.info.Hints = nil
 	c.leaseUntil.Store(0)
 }
 
@@ -249,9 +325,10 @@
 func (c *Control) enterEpoch(now time.Time, f *peerv1.Fleet) []outbox.Send {
 	c.log.Info("membership epoch", "epoch", f.GetEpoch(), "members", len(f.GetMembers()))
 	c.setMembers(f)
+	c.setSeeds(now)
 	c.quotaMu.Lock()
 	defer c.quotaMu.Unlock()
-	c.wakeWaiters()
+	defer c.wakeWaiters()
 	return c.quota.EnterEpoch(now, f)
 }
 
@@ -261,27 +338,42 @@
 	for _, m := range f.GetMembers() {
 		c.members[m.Vm] = m
 	}
-	for _, byVM := range c.hints {
-		for vm := range byVM {
-			if c.members[vm] == nil {
-				delete(byVM, vm)
-			}
+	for limit, byVM := range c.hints {
+		maps.DeleteFunc(byVM, func(vm string, _ *peerv1.QuotaHint) bool { return c.members[vm] == nil })
+		if len(byVM) == 0 {
+			delete(c.hints, limit)
+		}
+	}
+	maps.DeleteFunc(c.leavingPeers, func(vm string, _ bool) bool { return c.members[vm] == nil })
+	maps.DeleteFunc(c.peerVersions, func(vm string, _ uint64) bool { return c.members[vm] == nil })
+}
+
+// setSeeds tells the liveness tracking which VMs to look for: the members and
+// those of the VM list. It needs mu.
+func (c *Control) setSeeds(now time.Time) {
+	var seeds []*peerv1.Member
+	for _, m := range c.members {
+		seeds = append(seeds, m)
+	}
+	for vm, m := range c.seeds {
+		if c.members[vm] == nil {
+			seeds = append(seeds, m)
 		}
 	}
+	c.membership.SetSeeds(now, seeds)
 }
 
 // runFleetOp carries out a table call and gives its result to the machine that
-// asked for it, which may be that of an earlier incarnation.
+// asked for it. A machine of an earlier incarnation needs no result.
 func (c *Control) runFleetOp(machine *fleet.Machine, op tableop.Op) {
 	result := c.runOp(op)
 	now := time.Now()
-	c.mu.Lock()
-	out := machine.TableResult(now, result)
-	current := machine == c.fleet
-	c.mu.Unlock()
-	if current {
-		c.apply(now, machine, out)
-	}
+	c.sender.Send(c.step(now, func(m *fleet.Machine) fleet.Output {
+		if m != machine {
+			return fleet.Output{}
+		}
+		return m.TableResult(now, result)
+	}))
 }
 
 // runOp carries out one table call.
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cassiawind/cassiawind/core/fleet"
+	"github.com/cassiawind/cassiawind/core/membership"
 	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/entry/policy"
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
@@ -79,7 +81,15 @@
 	if m := c.members[vm]; m != nil {
 		return m
 	}
-	return c.seeds[vm]
+	if m := c.seeds[vm]; m != nil {
+		return m
+	}
+	for _, m := range c.membership.Members() {
+		if m.Member.GetVm() == vm {
+			return m.Member
+		}
+	}
+	return nil
 }
 
 // SetLeaving marks this VM as leaving in heartbeats.
@@ -87,6 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.info.Leaving = true
+	c.membership.SetLeaving()
 }
 
 // SetInFlight tells the requests in flight by region, for heartbeats.
@@ -96,16 +107,23 @@
 	c.info.InFlightByRegion = byRegion
 }
 
-// HandOver gives this VM's units to the members that stay.
+// HandOver gives this VM's units to the members that stay. Those that do not
+// answer get none while there are others.
 func (c *Control) HandOver(now time.Time) {
-	c.mu.Lock()
-	var to []string
-	for vm := range c.members {
-		if vm != c.Self().Vm && !c.leavingPeers[vm] {
-			to = append(to, vm)
+	var alive, others []string
+	for _, p := range c.Peers() {
+		switch {
+		case p.Member.Vm == c.Self().Vm || p.Leaving:
+		case p.Alive:
+			alive = append(alive, p.Member.Vm)
+		default:
+			others = append(others, p.Member.Vm)
 		}
 	}
-	c.mu.Unlock()
+	to := alive
+	if len(to) == 0 {
+		to = others
+	}
 	c.quotaMu.Lock()
 	sends := c.quota.HandOver(now, to)
 	c.quotaMu.Unlock()
@@ -130,11 +148,7 @@
 
 // Leave starts the removal of this VM from the fleet.
 func (c *Control) Leave(now time.Time) {
-	c.mu.Lock()
-	machine := c.fleet
-	out := machine.Leave(now)
-	c.mu.Unlock()
-	c.apply(now, machine, out)
+	c.sender.Send(c.step(now, func(m *fleet.Machine) fleet.Output { return m.Leave(now) }))
 }
 
 // Left reports whether this VM is no longer a member.
@@ -142,7 +156,9 @@
 
 // PeerState is what this VM knows of a member of the fleet.
 type PeerState struct {
-	Member        *peerv1.Member
+	Member *peerv1.Member
+	// Alive tells that the member's heartbeats arrive and that no VM suspects
+	// it.
 	Alive         bool
 	Leaving       bool
 	ConfigVersion uint64
@@ -152,10 +168,20 @@
 func (c *Control) Peers() []PeerState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	alive := c.aliveVMs()
+	silence := c.silence()
+	liveness := c.liveness()
 	out := make([]PeerState, 0, len(c.members))
 	for vm, m := range c.members {
-		state := PeerState{Member: m, Alive: alive[vm], Leaving: c.leavingPeers[vm], ConfigVersion: c.peerVersions[vm]}
+		state := PeerState{Member: m, Leaving: c.leavingPeers[vm], ConfigVersion: c.peerVersions[vm]}
+		switch liveness[vm] {
+		case membership.Dead, membership.Suspect:
+		case membership.Leaving:
+			state.Leaving = true
+			fallthrough
+		default:
+			quiet, ok := silence[vm]
+			state.Alive = ok && quiet < silentAfter
+		}
 		if vm == c.Self().Vm {
 			state.Alive = true
 			state.Leaving = c.info.Leaving
@@ -166,15 +192,26 @@
 	return out
 }
 
-// aliveVMs needs mu.
-func (c *Control) aliveVMs() map[string]bool {
-	alive := map[string]bool{}
+// silence returns the time since the last heartbeat of each member. It needs mu.
+func (c *Control) silence() map[string]time.Duration {
+	silence := map[string]time.Duration{}
 	for _, m := range c.fleet.Snapshot(time.Now()).Members {
-		if m.Silence < silentAfter {
-			alive[m.VM] = true
+		silence[m.VM] = m.Silence
+	}
+	return silence
+}
+
+// liveness returns the state that probes and other VMs' reports give to the
+// members. A member that they do not know is left out. It needs mu.
+func (c *Control) liveness() map[string]membership.State {
+	liveness := map[string]membership.State{}
+	for _, m := range c.membership.Members() {
+		vm := m.Member.GetVm()
+		if c.members[vm].GetIncarnation() == m.Member.GetIncarnation() {
+			liveness[vm] = m.State
 		}
 	}
-	return alive
+	return liveness
 }
 
 // Holders returns the units of a limit that members last told.
@@ -188,6 +225,18 @@
 	return out
 }
 
+// HoldersNow returns the units of a limit that members last told, and those of
+// this VM.
+func (c *Control) HoldersNow(now time.Time, limit string) map[string]uint32 {
+	out := c.Holders(limit)
+	for _, l := range c.LimitStatus(now) {
+		if l.Limit.Name == limit {
+			out[c.Self().Vm] = l.Units
+		}
+	}
+	return out
+}
+
 // Demand returns the demand for a limit at the other members, as a part of the
 // limit's rate.
 func (c *Control) Demand(limit string) float64 {
--- a/entry/locate/locate.go
+++ b/entry/locate/locate.go
@@ -4,6 +4,9 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cassiawind/cassiawind/core/routing"
 	"github.com/cassiawind/cassiawind/entry/control"
@@ -34,35 +37,71 @@
 type State interface {
 	Policy() *policy.Policy
 	Peers() []control.PeerState
-	Holders(limit string) map[string]uint32
+	HoldersNow(now time.Time, limit string) map[string]uint32
 }
 
-// Locator answers look-ups. ValidMS is the validity of its answers.
+// Locator answers look-ups. Use New.
 type Locator struct {
-	State   State
-	ValidMS int
+	state   State
+	validMS int
+	last    atomic.Pointer[snapshot]
+	// building is locked while a new snapshot is made.
+	building sync.Mutex
 }
 
+// New returns a Locator whose answers are valid for the given time, in
+// milliseconds.
+func New(s State, validMS int) *Locator { return &Locator{state: s, validMS: validMS} }
+
 // Locate returns the entry VMs for a caller, by its address and, if it shows
-// one, its key.
-func (l *Locator) Locate(client, key string) Answer {
-	p := l.State.Policy()
+// one, its key. It returns false while this VM is not a member of the fleet.
+func (l *Locator) Locate(client, key string) (Answer, bool) {
+	p := l.state.Policy()
+	snap := l.snapshot(time.Now(), p)
+	if snap.members == 0 {
+		return Answer{}, false
+	}
+	client = host(client)
 	region := clientRegion(p, client)
-	in := routing.LocateInput{ClientRegion: region, Caller: client, VMs: l.vms(p, key), DelayMS: delays(p, region), Max: maxEntries}
-	answer := Answer{ValidMS: l.ValidMS, Region: region, Entries: []Entry{}}
-	for _, c := range routing.Locate(in) {
+	answer := Answer{ValidMS: l.validMS, Region: region, Entries: []Entry{}}
+	var choices [maxEntries]routing.EntryChoice
+	for _, c := range snap.locate(choices[:0], client, region, l.units(snap, p, key)) {
 		answer.Entries = append(answer.Entries, Entry{VM: c.VM, Address: c.Address, Region: c.Region, Reason: string(c.Reason)})
 	}
-	return answer
+	return answer, true
+}
+
+// units returns the units that VMs hold of the limit of a key's account, nil
+// without a valid key.
+func (l *Locator) units(snap *snapshot, p *policy.Policy, key string) map[string]uint32 {
+	if key == "" {
+		return nil
+	}
+	account := p.AccountOf(key)
+	if account == nil {
+		return nil
+	}
+	if known, ok := snap.units.Load(account.Limit); ok {
+		return known.(map[string]uint32)
+	}
+	units := l.state.HoldersNow(time.Now(), account.Limit)
+	snap.units.Store(account.Limit, units)
+	return units
 }
 
 // Region returns the nearest region of a client address, "" if unknown.
-func (l *Locator) Region(client string) string { return clientRegion(l.State.Policy(), client) }
+func (l *Locator) Region(client string) string { return clientRegion(l.state.Policy(), host(client)) }
 
-func clientRegion(p *policy.Policy, client string) string {
-	if host, _, err := net.SplitHostPort(client); err == nil {
-		client = host
+// host returns an address without its port, which differs between the
+// connections of a caller.
+func host(client string) string {
+	if h, _, err := net.SplitHostPort(client); err == nil {
+		return h
 	}
+	return client
+}
+
+func clientRegion(p *policy.Policy, client string) string {
 	address, err := netip.ParseAddr(client)
 	if err != nil || p.Blocks == nil {
 		return ""
@@ -70,32 +109,3 @@
 	region, _ := p.Blocks.Lookup(address.Unmap())
 	return region
 }
-
-func (l *Locator) vms(p *policy.Policy, key string) []routing.EntryVM {
-	var units map[string]uint32
-	if account := p.AccountOf(key); key != "" && account != nil {
-		units = l.State.Holders(account.Limit)
-	}
-	var out []routing.EntryVM
-	for _, peer := range l.State.Peers() {
-		m := peer.Member
-		out = append(out, routing.EntryVM{
-			VM: m.Vm, Address: m.CallerAddress, Region: m.Region, FailureDomain: m.FailureDomain,
-			Healthy: peer.Alive, Leaving: peer.Leaving || p.DrainedRegions[m.Region] || p.DrainedDomains[m.FailureDomain],
-			Headroom: 1, AccountUnits: units[m.Vm],
-		})
-	}
-	return out
-}
-
-func delays(p *policy.Policy, region string) map[string]float64 {
-	if p.Config == nil {
-		return nil
-	}
-	for _, r := range p.Config.Regions {
-		if r.Name == region {
-			return r.DelayMS
-		}
-	}
-	return nil
-}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -22,6 +22,18 @@
 	// callTimeout bounds one exchange. It is below the lease of 3 s, so that a
 	// connection that went silent costs at most one heartbeat round.
 	callTimeout = time.Second
+	// configTimeout bounds an exchange that asks for the configuration. A full
+	// one is tens of megabytes.
+	configTimeout = 10 * time.Second
+	// probeAfter and probeTimeout find a connection that went silent while no
+	// exchange is open, and writeTimeout one that takes no more bytes.
+	probeAfter   = 5 * time.Second
+	probeTimeout = time.Second
+	writeTimeout = time.Second
+	// connIdleTimeout closes connections that were replaced.
+	connIdleTimeout = 10 * time.Second
+	// queueIdleTimeout ends the queue of a peer that is no longer sent to.
+	queueIdleTimeout = time.Minute
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 500 * time.Millisecond
 	// queueLength bounds the messages that wait for one peer; more are dropped.
@@ -64,30 +76,31 @@
 
 // Send queues messages for their receivers. It does not block.
 func (t *Transport) Send(sends []outbox.Send) {
-	self := t.dir.Self().Vm
+	self := t.dir.Self()
 	for _, s := range sends {
-		if s.To == self {
+		if s.To == self.Vm {
 			continue
 		}
 		if q := t.queue(s.To); q != nil {
-			q.add(s.Message)
+			q.add(self, s.Message)
 		}
 	}
 }
 
 func (t *Transport) queue(vm string) *queue {
 	member := t.dir.Peer(vm)
-	if member == nil {
-		return nil
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q := t.queues[vm]
-	if q != nil && q.peer.Incarnation == member.Incarnation && q.peer.PeerAddress == member.PeerAddress {
+	if q != nil && member != nil && q.peer.Incarnation == member.Incarnation && q.peer.PeerAddress == member.PeerAddress {
 		return q
 	}
 	if q != nil {
 		q.stop()
+		delete(t.queues, vm)
+	}
+	if member == nil {
+		return nil
 	}
 	q = newQueue(t, member)
 	t.queues[vm] = q
@@ -95,6 +108,22 @@
 	return q
 }
 
+// retire ends a queue that nothing waits in.
+func (t *Transport) retire(q *queue) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiting) > 0 {
+		return false
+	}
+	if t.queues[q.peer.Vm] == q {
+		delete(t.queues, q.peer.Vm)
+	}
+	q.stop()
+	return true
+}
+
 // Handler returns the HTTP handler of the peer service.
 func (t *Transport) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -105,18 +134,23 @@
 // Exchange implements the peer service.
 func (t *Transport) Exchange(_ context.Context, req *connect.Request[peerv1.Batch]) (*connect.Response[peerv1.Batch], error) {
 	batch := req.Msg
-	reply := &peerv1.Batch{From: t.dir.Self(), ToVm: batch.From.GetVm(), ToIncarnation: batch.From.GetIncarnation()}
-	if batch.From == nil || !t.addressed(batch) {
+	self := t.dir.Self()
+	reply := &peerv1.Batch{From: self, ToVm: batch.From.GetVm(), ToIncarnation: batch.From.GetIncarnation()}
+	if batch.From == nil || !addressed(batch, self) {
 		return connect.NewResponse(reply), nil
 	}
 	reply.Messages = t.deliver(batch)
+	if t.dir.Self() != self {
+		// A message led to a new incarnation, and the answers may be of
+		// either one.
+		reply.Messages = nil
+	}
 	return connect.NewResponse(reply), nil
 }
 
 // addressed reports whether a batch is meant for this incarnation. Senders
 // that do not know the incarnation yet leave it 0.
-func (t *Transport) addressed(b *peerv1.Batch) bool {
-	self := t.dir.Self()
+func addressed(b *peerv1.Batch, self *peerv1.Member) bool {
 	return b.ToVm == self.Vm && (b.ToIncarnation == 0 || b.ToIncarnation == self.Incarnation)
 }
 
@@ -146,9 +180,11 @@
 	stop context.CancelFunc
 	wake chan struct{}
 
-	mu      sync.Mutex
-	conn    *conn
+	mu   sync.Mutex
+	conn *conn
+	// waiting are the messages of the incarnation from.
 	waiting []*peerv1.Message
+	from    *peerv1.Member
 }
 
 // conn is a client with a connection pool of its own.
@@ -163,6 +199,10 @@
 	transport := &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		Protocols:   protocols,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: probeAfter, PingTimeout: probeTimeout, WriteByteTimeout: writeTimeout,
+		},
+		IdleConnTimeout: connIdleTimeout,
 	}
 	client := peerv1connect.NewPeerServiceClient(&http.Client{Transport: transport},
 		"http://"+address, connect.WithReadMaxBytes(maxBatchBytes))
@@ -174,9 +214,14 @@
 	return &queue{t: t, peer: peer, conn: newConn(peer.PeerAddress), ctx: ctx, stop: stop, wake: make(chan struct{}, 1)}
 }
 
-func (q *queue) add(m *peerv1.Message) {
+// add queues a message of an incarnation of this VM. Messages of an earlier
+// incarnation are dropped, since a batch has one sender.
+func (q *queue) add(from *peerv1.Member, m *peerv1.Message) {
 	q.mu.Lock()
-	if len(q.waiting) < queueLength {
+	if q.from.GetIncarnation() < from.GetIncarnation() {
+		q.from, q.waiting = from, nil
+	}
+	if len(q.waiting) < queueLength && q.from.GetIncarnation() == from.GetIncarnation() {
 		q.waiting = append(q.waiting, m)
 	}
 	q.mu.Unlock()
@@ -186,12 +231,12 @@
 	}
 }
 
-func (q *queue) take() (*conn, []*peerv1.Message) {
+func (q *queue) take() (*conn, *peerv1.Member, []*peerv1.Message) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	m := q.waiting
 	q.waiting = nil
-	return q.conn, m
+	return q.conn, q.from, m
 }
 
 // abandon replaces a connection that failed or went silent. Waiting for it to
@@ -213,35 +258,63 @@
 
 func (q *queue) run() {
 	defer q.close()
+	idle := time.NewTimer(queueIdleTimeout)
+	defer idle.Stop()
 	for {
 		select {
 		case <-q.ctx.Done():
 			return
+		case <-idle.C:
+			if q.t.retire(q) {
+				return
+			}
 		case <-q.wake:
 		}
-		if c, messages := q.take(); len(messages) > 0 {
-			// Exchanges overlap: a peer that is slow to answer one batch must
-			// not hold back the next heartbeat.
-			go q.exchange(c, messages)
+		idle.Reset(queueIdleTimeout)
+		conn, from, messages := q.take()
+		// Exchanges overlap: a peer that is slow to answer one batch must not
+		// hold back the next heartbeat.
+		config, others := splitConfig(messages)
+		q.start(conn, from, config, configTimeout)
+		q.start(conn, from, others, callTimeout)
+	}
+}
+
+// splitConfig separates the messages that are answered with a configuration.
+func splitConfig(messages []*peerv1.Message) (config, others []*peerv1.Message) {
+	for _, m := range messages {
+		if _, ok := m.Kind.(*peerv1.Message_ConfigRequest); ok {
+			config = append(config, m)
+		} else {
+			others = append(others, m)
 		}
 	}
+	return config, others
+}
+
+func (q *queue) start(c *conn, from *peerv1.Member, messages []*peerv1.Message, timeout time.Duration) {
+	if len(messages) > 0 {
+		go q.exchange(c, from, messages, timeout)
+	}
 }
 
-func (q *queue) exchange(c *conn, messages []*peerv1.Message) {
-	ctx, cancel := context.WithTimeout(q.ctx, callTimeout)
+func (q *queue) exchange(c *conn, from *peerv1.Member, messages []*peerv1.Message, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(q.ctx, timeout)
 	defer cancel()
 	resp, err := c.client.Exchange(ctx, connect.NewRequest(&peerv1.Batch{
-		From: q.t.dir.Self(), ToVm: q.peer.Vm, ToIncarnation: q.peer.Incarnation, Messages: messages,
+		From: from, ToVm: q.peer.Vm, ToIncarnation: q.peer.Incarnation, Messages: messages,
 	}))
 	if err != nil {
 		q.abandon(c)
 		q.t.log.V(1).Info("peer exchange failed", "peer", q.peer.Vm, "error", err.Error())
 		return
 	}
-	if back := resp.Msg; back.From != nil && back.From.Vm == q.peer.Vm {
-		if answers := q.t.deliver(back); len(answers) > 0 {
-			q.t.Send(sendsTo(q.peer.Vm, answers))
-		}
+	back := resp.Msg
+	if back.From == nil || back.From.Vm != q.peer.Vm || !addressed(back, q.t.dir.Self()) {
+		return
+	}
+	if answers := q.t.deliver(back); len(answers) > 0 {
+		q.t.Send(sendsTo(q.peer.Vm, answers))
 	}
 }
 
--- a/entry/server/regions.go
+++ b/entry/server/regions.go
@@ -97,3 +97,36 @@
 	}
 	return out
 }
+
+// observe takes over the load of the backend servers by region. demand returns
+// the requests per second for a region's cap over all VMs.
+func (r *regions) observe(loads map[string]service.RegionLoad, demand func(region string) float64) {
+	rates := make(map[string]float64, len(loads))
+	for name := range loads {
+		rates[name] = demand(name)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range r.names {
+		l := loads[name]
+		r.regions.SetFailed(name, failed(l) && !allFailed(loads))
+		if !l.ReportedAt.IsZero() {
+			r.regions.Measure(name, routing.Measurement{
+				At: l.ReportedAt, RatePerSecond: rates[name], InFlight: l.InFlight, Slots: l.Slots,
+			})
+		}
+	}
+}
+
+func failed(l service.RegionLoad) bool { return l.Servers > 0 && l.Unreachable == l.Servers }
+
+// allFailed reports that no region is reachable. It then is more likely that
+// the measurements have stopped than that every region has failed.
+func allFailed(loads map[string]service.RegionLoad) bool {
+	for _, l := range loads {
+		if !failed(l) {
+			return false
+		}
+	}
+	return true
+}
--- a/entry/server/registry.go
+++ b/entry/server/registry.go
@@ -51,9 +51,13 @@
 	for name := range p.Services {
 		s := before[name]
 		if s == nil {
-			s = r.start(name)
+			s = &running{Service: service.New(name, r.seed)}
 		}
 		s.Configure(now, p, entryVMs)
+		if s.stop == nil {
+			// Started with its backend servers, so that the first poll is at once.
+			r.start(s)
+		}
 		after[name] = s
 	}
 	r.services.Store(&after)
@@ -64,10 +68,20 @@
 	}
 }
 
-func (r *registry) start(name string) *running {
+func (r *registry) start(s *running) {
 	ctx, stop := context.WithCancel(r.ctx)
-	s := &running{Service: service.New(name, r.seed), stop: stop}
+	s.stop = stop
 	go s.Run(ctx)
 	go r.poller.Run(ctx, s.Service)
-	return s
+}
+
+// loads returns the load of all services by region.
+func (r *registry) loads(now time.Time) map[string]service.RegionLoad {
+	loads := map[string]service.RegionLoad{}
+	for _, s := range r.all() {
+		for region, l := range s.Loads(now) {
+			loads[region] = loads[region].Add(l)
+		}
+	}
+	return loads
 }
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/declare"
 	"github.com/cassiawind/cassiawind/entry/control"
 	"github.com/cassiawind/cassiawind/entry/forward"
@@ -32,6 +33,8 @@
 	idleTimeout = 2 * time.Minute
 	// watchInterval is the time between updates that follow the fleet.
 	watchInterval = 500 * time.Millisecond
+	// listeners is the number of addresses of an entry process.
+	listeners = 3
 )
 
 // Errors of starting an entry process.
@@ -80,7 +83,7 @@
 		services: newRegistry(ctx, self.Incarnation),
 		regions:  newRegions(settings.Region),
 	}
-	s.locator = &locate.Locator{State: s.control, ValidMS: settings.LookupValidityMS}
+	s.locator = locate.New(s.control, settings.LookupValidityMS)
 	s.handler = forward.New(forward.Config{MaxBodyBytes: settings.MaxBodyBytes}, forward.Deps{
 		Control: s.control, Regions: s.regions, Services: s.services,
 		Bookings: forward.NewBookings(ctx, p.Table, p.Objects, s.control.Self, log),
@@ -95,16 +98,20 @@
 func (s *Server) Run(ctx context.Context, stop <-chan struct{}) error {
 	transport := peers.New(ctx, s.control, s.control, s.log)
 	s.control.SetSender(transport)
-	failed := make(chan error, 3)
+	failed := make(chan error, listeners)
 	if err := s.listen(transport, failed); err != nil {
 		return err
 	}
+	// Ends all connections at once, unless a planned stop has closed them.
+	defer s.closeNow()
 	go s.control.Run()
 	go s.watch(ctx)
 	s.log.Info("entry process started", "vm", s.settings.VM, "caller_address", s.settings.CallerAddress, "build", s.build)
 	select {
 	case err := <-failed:
 		return err
+	case <-ctx.Done():
+		return ctx.Err()
 	case <-stop:
 		return s.stop(ctx)
 	}
@@ -125,20 +132,20 @@
 		{Addr: s.settings.PeerAddress, Handler: transport.Handler(), Protocols: plainProtocols(), ReadHeaderTimeout: headTimeout},
 		{Addr: s.settings.OperatorAddress, Handler: operators, ReadHeaderTimeout: headTimeout},
 	}
-	listeners := make([]net.Listener, 0, len(servers))
+	open := make([]net.Listener, 0, listeners)
 	for _, srv := range servers {
 		l, err := net.Listen("tcp", srv.Addr)
 		if err != nil {
-			for _, open := range listeners {
-				open.Close()
+			for _, l := range open {
+				l.Close()
 			}
 			return errors.Wrap(ErrListen, err.Error())
 		}
-		listeners = append(listeners, l)
+		open = append(open, l)
 	}
-	s.http, s.callerListener = servers, listeners[0]
+	s.http, s.callerListener = servers, open[0]
 	for i, srv := range servers {
-		go serve(srv, listeners[i], failed)
+		go serve(srv, open[i], failed)
 	}
 	return nil
 }
@@ -229,7 +236,23 @@
 			return
 		case <-ticker.C:
 		}
+		now := time.Now()
 		s.control.SetInFlight(s.regions.inFlight())
+		s.regions.observe(s.services.loads(now), s.regionDemand(now))
 		s.configure(s.control.Policy(), len(s.control.Peers()))
 	}
 }
+
+// regionDemand returns a function for the requests per second to a region over
+// all VMs, as far as the region's cap admits them.
+func (s *Server) regionDemand(now time.Time) func(region string) float64 {
+	own := map[string]quota.LimitStatus{}
+	for _, l := range s.control.LimitStatus(now) {
+		own[l.Limit.Name] = l
+	}
+	return func(region string) float64 {
+		name := quota.RegionLimit(region)
+		rate := own[name].Limit.RatePerSecond
+		return min(rate, own[name].DemandPerSecond+rate*s.control.Demand(name))
+	}
+}
--- a/entry/server/status.go
+++ b/entry/server/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/cassiawind/cassiawind/core/balance"
 	"github.com/cassiawind/cassiawind/core/quota"
+	"github.com/cassiawind/cassiawind/declare"
 	"github.com/cassiawind/cassiawind/entry/operator"
 	"github.com/cassiawind/cassiawind/entry/policy"
 )
@@ -115,7 +116,7 @@
 		drain := operator.Drain{Name: d.Name}
 		for _, service := range p.Config.Services {
 			for _, b := range service.BackendServers {
-				if b.Name == d.BackendServer || b.FailureDomain == d.FailureDomain || b.Region == d.Region {
+				if covers(d, b) {
 					drain.InFlight += inFlight[b.Name]
 				}
 			}
@@ -124,3 +125,15 @@
 	}
 	return out
 }
+
+// covers reports whether a drain takes a backend server out of service. The
+// targets that a drain does not name are empty.
+func covers(d declare.Drain, b declare.BackendServer) bool {
+	switch {
+	case d.BackendServer != "":
+		return b.Name == d.BackendServer
+	case d.FailureDomain != "":
+		return b.FailureDomain == d.FailureDomain
+	}
+	return b.Region == d.Region
+}
--- a/entry/server/stop.go
+++ b/entry/server/stop.go
@@ -101,3 +101,10 @@
 		_ = srv.Shutdown(ctx)
 	}
 }
+
+// closeNow ends all connections at once.
+func (s *Server) closeNow() {
+	for _, srv := range s.http {
+		srv.Close()
+	}
+}
--- a/entry/service/health.go
+++ b/entry/service/health.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cassiawind/cassiawind/core/balance"
 )
 
@@ -72,30 +75,45 @@
 // report; the balancer acts on the age of the last one.
 func (p *Poller) poll(ctx context.Context, s *Service, b balance.Server) {
 	health, err := p.get(ctx, b.Address)
-	if err != nil {
+	if ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
+	s.report(time.Now(), b.Name, health, err)
+}
+
+// report takes the result of one poll.
+func (s *Service) report(now time.Time, server string, health Health, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports[b.Name] = health
-	s.balancer.Report(now, b.Name, balance.Report{
-		At: now, State: stateOf(health.State), Slots: health.Slots, InFlight: health.InFlight,
+	o := s.observed[server]
+	if o == nil {
+		return // no longer declared
+	}
+	if err != nil {
+		o.failures++
+		return
+	}
+	o.Health, o.reportedAt, o.failures = health, now, 0
+	s.balancer.Report(now, server, balance.Report{
+		At: now, State: states[health.State], Slots: health.Slots, InFlight: health.InFlight,
 	})
 	s.updateSlots(now)
 }
 
-func stateOf(state string) balance.State {
-	switch state {
-	case "leaving":
-		return balance.StateLeaving
-	case "cold":
-		return balance.StateCold
-	default:
-		return balance.StateServing
-	}
+// States of a backend server, as it reports them.
+const (
+	stateServing = "serving"
+	stateLeaving = "leaving"
+	stateCold    = "cold"
+)
+
+var states = map[string]balance.State{
+	stateServing: balance.StateServing, stateLeaving: balance.StateLeaving, stateCold: balance.StateCold,
 }
 
+// ErrReport means that an answer to GET /health is no report.
+var ErrReport = errors.New("answer to the health poll is not a report")
+
 func (p *Poller) get(ctx context.Context, address string) (Health, error) {
 	var h Health
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
@@ -107,6 +125,14 @@
 		return h, err
 	}
 	defer resp.Body.Close()
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&h)
-	return h, err
+	if resp.StatusCode != http.StatusOK {
+		return h, errors.Wrap(ErrReport, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&h); err != nil {
+		return h, errors.Wrap(ErrReport, err.Error())
+	}
+	if _, known := states[h.State]; !known {
+		return h, errors.Wrap(ErrReport, strconv.Quote(h.State))
+	}
+	return h, nil
 }
--- a/entry/service/service.go
+++ b/entry/service/service.go
@@ -39,7 +39,7 @@
 	nextID   uint64
 	inFlight int
 	slots    int
-	reports  map[string]Health
+	observed map[string]*observation
 	servers  []balance.Server
 	// regions are those with a backend server that is not drained.
 	regions map[string]bool
@@ -58,7 +58,7 @@
 		sched:    admission.New(admission.Config{Service: name}),
 		balancer: balance.New(balance.Config{Service: name}, rand.New(rand.NewPCG(seed, 1))),
 		waiting:  map[uint64]chan result{},
-		reports:  map[string]Health{},
+		observed: map[string]*observation{},
 		vms:      1,
 	}
 }
@@ -80,7 +80,13 @@
 	defer s.mu.Unlock()
 	s.servers = servers
 	s.regions = map[string]bool{}
+	before := s.observed
+	s.observed = make(map[string]*observation, len(servers))
 	for _, b := range servers {
+		s.observed[b.Name] = before[b.Name]
+		if s.observed[b.Name] == nil {
+			s.observed[b.Name] = &observation{}
+		}
 		if !b.Draining {
 			s.regions[b.Region] = true
 		}
@@ -96,11 +102,12 @@
 func (s *Service) updateSlots(now time.Time) {
 	total, used := 0, 0
 	for _, b := range s.servers {
-		if b.Draining {
+		o := s.observed[b.Name]
+		if b.Draining || o.State == stateLeaving {
 			continue
 		}
 		total += b.Slots
-		used += min(b.Slots, s.reports[b.Name].InFlight)
+		used += min(b.Slots, o.InFlight)
 	}
 	used = max(used, s.inFlight)
 	fair := (max(0, total-used)*freeSlotFactor + s.vms - 1) / s.vms
@@ -138,7 +145,7 @@
 		}
 		return Ticket{id}, nil
 	case <-ctx.Done():
-		s.cancel(id)
+		s.cancel(id, ch)
 		return Ticket{}, ctx.Err()
 	}
 }
@@ -147,14 +154,18 @@
 	return problem.New(problem.CodeServiceFull, 503, "the service has no free slot").After(max(retryAfter, time.Second))
 }
 
-// cancel removes a waiting request; it may have been admitted meanwhile.
-func (s *Service) cancel(id uint64) {
+// cancel removes a waiting request. It may have been admitted or given up
+// meanwhile; the result is then in its channel.
+func (s *Service) cancel(id uint64, ch <-chan result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, waits := s.waiting[id]; waits {
-		delete(s.waiting, id)
-	} else {
-		s.inFlight--
+	delete(s.waiting, id)
+	select {
+	case r := <-ch:
+		if r.admitted {
+			s.inFlight--
+		}
+	default:
 	}
 	s.wake(s.sched.Cancel(time.Now(), id))
 }
@@ -226,6 +237,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, server, o)
+	if seen := s.observed[server]; seen != nil && o.Class == balance.ClassOK {
+		seen.answeredAt = now
+	}
 }
 
 // Latency returns the average latency of a backend server's last answers.
