entry: slots divided by demand, shed requests keep their place, ramp by caller

A request that three backend servers shed was refused although its place in the scheduler was due. Callers of a failed region counted as local and were not ramped. Change: heartbeats carry the demand for slots by service, and admission.Part divides the slots of a region between its VMs. A request that was shed by all keeps its slot and is tried again up to 8 times, 10 ms apart. The caller's region is given to the region choice.

--- a/core/fleet/heartbeat.go
+++ b/core/fleet/heartbeat.go
@@ -67,6 +67,7 @@
 		Leaving:           m.info.Leaving || m.phase == phaseLeaving,
 		Hints:             m.info.Hints,
 		InFlightByRegion:  m.info.InFlightByRegion,
+		ServiceDemand:     m.info.ServiceDemand,
 		TableContactAgeMs: m.contactAgeMs(now),
 	}}}
 	for _, member := range m.current.GetMembers() {
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -24,6 +24,8 @@
 	Leaving          bool
 	Hints            []*peerv1.QuotaHint
 	InFlightByRegion map[string]uint32
+	// ServiceDemand is in thousandths of a slot, by service.
+	ServiceDemand map[string]uint32
 }
 
 // Output is the result of a step.
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -86,6 +86,8 @@
 	// leavingPeers holds members that announced a planned stop.
 	leavingPeers map[string]bool
 	peerVersions map[string]uint64
+	// peerDemand is in thousandths of a slot, by VM and service.
+	peerDemand map[string]map[string]uint32
 	// hints are the last ones told by members, by limit and VM.
 	hints map[string]map[string]*peerv1.QuotaHint
 
@@ -115,6 +117,7 @@
 		members:      map[string]*peerv1.Member{},
 		leavingPeers: map[string]bool{},
 		peerVersions: map[string]uint64{},
+		peerDemand:   map[string]map[string]uint32{},
 		hints:        map[string]map[string]*peerv1.QuotaHint{},
 		arrived:      make(chan struct{}),
 		compile:      make(chan struct{}, 1),
@@ -255,6 +258,7 @@
 	}
 	c.leavingPeers[from.Vm] = hb.Leaving
 	c.peerVersions[from.Vm] = hb.ConfigVersion
+	c.peerDemand[from.Vm] = hb.ServiceDemand
 	for _, h := range hb.Hints {
 		if c.hints[h.Limit] == nil {
 			c.hints[h.Limit] = map[string]*peerv1.QuotaHint{}
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/fleet"
@@ -107,6 +108,42 @@
 	c.info.InFlightByRegion = byRegion
 }
 
+// milliSlots is the number of units of a slot in heartbeats.
+const milliSlots = 1000
+
+// SetServiceDemand tells the slots that the requests offered to this VM would
+// use, by service, for heartbeats.
+func (c *Control) SetServiceDemand(slots map[string]float64) {
+	demand := make(map[string]uint32, len(slots))
+	for name, n := range slots {
+		demand[name] = uint32(min(n, math.MaxUint32/milliSlots) * milliSlots)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.info.ServiceDemand = demand
+}
+
+// RegionDemand returns the number of members of a region, this VM included, and
+// the slots that the other ones last asked for, by service.
+func (c *Control) RegionDemand(region string) (vms int, others map[string]float64) {
+	others = map[string]float64{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for vm, m := range c.members {
+		if region != "" && m.Region != region {
+			continue
+		}
+		vms++
+		if vm == c.Self().Vm {
+			continue
+		}
+		for name, n := range c.peerDemand[vm] {
+			others[name] += float64(n) / milliSlots
+		}
+	}
+	return vms, others
+}
+
 // HandOver gives this VM's units to the members that stay. Those that do not
 // answer get none while there are others.
 func (c *Control) HandOver(now time.Time) {
--- a/entry/forward/dispatch.go
+++ b/entry/forward/dispatch.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// maxAttempts bounds the backend servers tried for one request.
+	// maxAttempts bounds the backend servers tried for one request in a round.
 	maxAttempts = 3
+	// maxShedRounds and shedPause bound the time for which a request that all
+	// backend servers shed is tried again.
+	maxShedRounds = 8
+	shedPause     = 10 * time.Millisecond
 	// minHeadTimeout is the least time that an idempotent request waits for an
 	// answer to begin before another backend server is tried.
 	minHeadTimeout = 250 * time.Millisecond
@@ -25,39 +29,84 @@
 // dispatch sends the request to backend servers until one answers. mayDispatch
 // is asked immediately before each attempt; nil allows all.
 func (h *Handler) dispatch(ctx context.Context, c *call, body *requestBody, mayDispatch func(time.Time) bool) (*answer, *problem.Rejection) {
-	header := outgoingHeader(c)
+	d := &dispatcher{h: h, call: c, body: body, header: outgoingHeader(c), mayDispatch: mayDispatch, run: problem.NotRun}
+	for round := range maxShedRounds {
+		if round > 0 && !pause(ctx, shedPause) {
+			break
+		}
+		ans, again := d.round(ctx)
+		if ans != nil {
+			return ans, nil
+		}
+		if !again {
+			break
+		}
+	}
+	if body.tooLong() {
+		return nil, withRun(tooLarge(), d.run)
+	}
+	return nil, withRun(dispatchRejection(ctx, d.err), d.run)
+}
+
+// pause waits and reports whether the request may go on.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// dispatcher makes the attempts of one request.
+type dispatcher struct {
+	h           *Handler
+	call        *call
+	body        *requestBody
+	header      http.Header
+	mayDispatch func(time.Time) bool
+	// run tells whether an attempt may have run, err is the last failure.
+	run problem.Run
+	err error
+}
+
+// round tries up to maxAttempts different backend servers. It returns again if
+// all of them shed the request: it then keeps its place in the scheduler and
+// tries them once more after a pause, since otherwise the backend servers and
+// not the accounts' shares would decide which requests are rejected.
+func (d *dispatcher) round(ctx context.Context) (ans *answer, again bool) {
+	c := d.call
 	var tried []string
-	run := problem.NotRun
-	var lastErr error
 	for range maxAttempts {
 		server, err := c.service.Pick(time.Now(), balance.PickInput{Region: c.region, Exclude: tried})
 		if err != nil {
-			break
+			return nil, errors.Is(d.err, ErrRejected)
 		}
 		now := time.Now()
-		if !now.Before(c.deadline) || (mayDispatch != nil && !mayDispatch(now)) {
+		if !now.Before(c.deadline) || (d.mayDispatch != nil && !d.mayDispatch(now)) {
 			c.service.Done(now, server.Name, balance.Outcome{Class: balance.ClassCanceled})
-			lastErr = context.DeadlineExceeded
-			break
+			d.err = context.DeadlineExceeded
+			return nil, false
 		}
 		tried = append(tried, server.Name)
-		ans, err := h.try(ctx, c, body, server, header)
+		ans, err := d.h.try(ctx, c, d.body, server, d.header)
 		if err == nil {
-			return ans, nil
+			return ans, false
 		}
-		lastErr = err
-		notRun := errors.Is(err, ErrNotEstablished) || errors.Is(err, ErrRejected)
-		if !notRun {
-			run = problem.MayHaveRun
-		}
-		if body.tooLong() {
-			return nil, withRun(tooLarge(), run)
-		}
-		if ctx.Err() != nil || !body.replayable() || (!notRun && !c.route.Idempotent) {
-			break
+		if d.err = err; !d.mayRetry(ctx) {
+			return nil, false
 		}
 	}
-	return nil, withRun(dispatchRejection(ctx, lastErr), run)
+	return nil, errors.Is(d.err, ErrRejected)
+}
+
+// mayRetry decides after a failed attempt.
+func (d *dispatcher) mayRetry(ctx context.Context) bool {
+	notRun := errors.Is(d.err, ErrNotEstablished) || errors.Is(d.err, ErrRejected)
+	if !notRun {
+		d.run = problem.MayHaveRun
+	}
+	return ctx.Err() == nil && d.body.replayable() && (notRun || d.call.route.Idempotent)
 }
 
 func withRun(r *problem.Rejection, run problem.Run) *problem.Rejection {
--- a/entry/forward/fakes_test.go
+++ b/entry/forward/fakes_test.go
@@ -66,7 +66,7 @@
 // fakeRegions has one region with a quota limit.
 type fakeRegions struct{}
 
-func (fakeRegions) Choose(_ time.Time, _ *service.Service, take func(string) bool, _ func(string)) (routing.RegionChoice, error) {
+func (fakeRegions) Choose(_ time.Time, _ string, _ *service.Service, take func(string) bool, _ func(string)) (routing.RegionChoice, error) {
 	if !take(quota.RegionLimit("r1")) {
 		return routing.RegionChoice{}, &routing.NoRegionError{RetryAfter: time.Second}
 	}
--- a/entry/forward/handler.go
+++ b/entry/forward/handler.go
@@ -35,8 +35,9 @@
 // Regions chooses the region of a request.
 type Regions interface {
 	// Choose admits a request to a region in which the service has backend
-	// servers. Each success must be followed by one Done.
-	Choose(now time.Time, s *service.Service, take func(limit string) bool, refund func(limit string)) (routing.RegionChoice, error)
+	// servers. Each success must be followed by one Done. clientRegion is ""
+	// if the caller's region is not known.
+	Choose(now time.Time, clientRegion string, s *service.Service, take func(limit string) bool, refund func(limit string)) (routing.RegionChoice, error)
 	Done(now time.Time, region string)
 }
 
--- a/entry/forward/limits.go
+++ b/entry/forward/limits.go
@@ -71,6 +71,7 @@
 func (h *Handler) chooseRegion(ctx context.Context, c *call) ([]string, *problem.Rejection) {
 	var taken []string
 	var lastErr error
+	clientRegion := h.control.Policy().RegionOf(c.r.RemoteAddr)
 	try := func(now time.Time) (ok, wait bool) {
 		taken = taken[:0]
 		take := func(limit string) bool {
@@ -85,7 +86,7 @@
 			h.control.Refund(now, limit, 1)
 			taken = taken[:len(taken)-1]
 		}
-		choice, err := h.regions.Choose(now, c.service, take, refund)
+		choice, err := h.regions.Choose(now, clientRegion, c.service, take, refund)
 		c.region, lastErr = choice.Region, err
 		return err == nil, wait
 	}
--- a/entry/policy/policy.go
+++ b/entry/policy/policy.go
@@ -175,6 +175,24 @@
 	return p.keys[[sha256.Size]byte(digest)]
 }
 
+// RegionOf returns the nearest region of a client address with or without a
+// port, "" if it is not known.
+func (p *Policy) RegionOf(client string) string {
+	if p.Blocks == nil {
+		return ""
+	}
+	if withPort, err := netip.ParseAddrPort(client); err == nil {
+		region, _ := p.Blocks.Lookup(withPort.Addr())
+		return region
+	}
+	address, err := netip.ParseAddr(client)
+	if err != nil {
+		return ""
+	}
+	region, _ := p.Blocks.Lookup(address)
+	return region
+}
+
 // Match returns the route of a request, or nil.
 func (p *Policy) Match(method, path string) *Route {
 	for _, r := range p.routes {
--- a/entry/server/regions.go
+++ b/entry/server/regions.go
@@ -50,10 +50,10 @@
 }
 
 // Choose implements forward.Regions.
-func (r *regions) Choose(now time.Time, s *service.Service, take func(string) bool, refund func(string)) (routing.RegionChoice, error) {
+func (r *regions) Choose(now time.Time, clientRegion string, s *service.Service, take func(string) bool, refund func(string)) (routing.RegionChoice, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	in := routing.ChooseInput{From: r.self, Refund: refund}
+	in := routing.ChooseInput{From: r.self, ClientRegion: clientRegion, Refund: refund}
 	served := s.RegionsWithServers()
 	for _, name := range r.names {
 		if !served[name] {
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/cassiawind/cassiawind/entry/peers"
 	"github.com/cassiawind/cassiawind/entry/policy"
 	"github.com/cassiawind/cassiawind/entry/problem"
+	"github.com/cassiawind/cassiawind/entry/service"
 	"github.com/cassiawind/cassiawind/entry/telemetry"
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 )
@@ -240,9 +241,27 @@
 		s.control.SetInFlight(s.regions.inFlight())
 		s.regions.observe(s.services.loads(now), s.regionDemand(now))
 		s.configure(s.control.Policy(), len(s.control.Peers()))
+		s.divideSlots(now)
 	}
 }
 
+// divideSlots tells this VM's demand for slots and divides each service's slots
+// by the demand that the other VMs told.
+func (s *Server) divideSlots(now time.Time) {
+	own := map[string]float64{}
+	vmsHere, othersHere := s.control.RegionDemand(s.settings.Region)
+	vmsAll, othersAll := s.control.RegionDemand("")
+	for name, running := range s.services.all() {
+		own[name] = running.Demand(now)
+		if running.RegionsWithServers()[s.settings.Region] {
+			running.SetShare(now, service.Share{Region: s.settings.Region, VMs: vmsHere, Others: othersHere[name]})
+		} else {
+			running.SetShare(now, service.Share{VMs: vmsAll, Others: othersAll[name]})
+		}
+	}
+	s.control.SetServiceDemand(own)
+}
+
 // regionDemand returns a function for the requests per second to a region over
 // all VMs, as far as the region's cap admits them.
 func (s *Server) regionDemand(now time.Time) func(region string) float64 {
--- a/entry/service/service.go
+++ b/entry/service/service.go
@@ -17,10 +17,6 @@
 const (
 	// expireInterval is the resolution of queue time-outs.
 	expireInterval = 20 * time.Millisecond
-	// freeSlotFactor is the number of fair parts of the free slots that one
-	// entry VM may claim between two reports. With 1, a VM that carries all
-	// traffic needs many reports to reach all slots.
-	freeSlotFactor = 2
 )
 
 // Ticket is an admitted request.
@@ -44,6 +40,7 @@
 	// regions are those with a backend server that is not drained.
 	regions map[string]bool
 	vms     int
+	share   Share
 }
 
 type result struct {
@@ -96,23 +93,47 @@
 	s.updateSlots(now)
 }
 
-// updateSlots needs mu. This VM's part of the slots is what it uses now and a
-// fair part of what the last reports show as free, so that a VM that carries
-// most of the traffic can use most of the slots without a call per request.
+// Share is what a VM knows of the demand for a service's slots. A VM sends its
+// requests to its own region first, so that the slots of a region are divided
+// between the VMs of the region.
+type Share struct {
+	// Region is this VM's region, or "" if the service has no backend server
+	// in it.
+	Region string
+	// VMs is the number of VMs that divide the slots, this one included.
+	VMs int
+	// Others is the number of slots that the other VMs' requests would use.
+	Others float64
+}
+
+// Demand returns the number of slots that the requests offered here would use.
+func (s *Service) Demand(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.Demand(now)
+}
+
+// SetShare updates this VM's part of the slots.
+func (s *Service) SetShare(now time.Time, share Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+	s.updateSlots(now)
+}
+
+// updateSlots needs mu.
 func (s *Service) updateSlots(now time.Time) {
-	total, used := 0, 0
+	total := 0
 	for _, b := range s.servers {
-		o := s.observed[b.Name]
-		if b.Draining || o.State == stateLeaving {
+		if b.Draining || s.observed[b.Name].State == stateLeaving {
 			continue
 		}
-		total += b.Slots
-		used += min(b.Slots, o.InFlight)
+		if s.share.Region == "" || b.Region == s.share.Region {
+			total += b.Slots
+		}
 	}
-	used = max(used, s.inFlight)
-	fair := (max(0, total-used)*freeSlotFactor + s.vms - 1) / s.vms
-	minimum := (total + s.vms - 1) / s.vms
-	s.slots = min(total, max(minimum, s.inFlight+fair))
+	own := s.sched.Demand(now)
+	s.slots = admission.Part(total, max(1, s.share.VMs), own, own+s.share.Others)
 	s.sched.SetSlots(now, s.slots)
 	s.wake(s.sched.Admit(now))
 }
