--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STATICCHECK_VERSION := v0.8.2
 export CGO_ENABLED := 1
 
-.PHONY: build test lint model measure capacity demo generate tools
+.PHONY: build test lint model measure capacity overhead demo generate tools
 
 build:
 	go build -ldflags "-X main.version=$(VERSION)" -o bin/cassiawind ./cassiawind
@@ -32,6 +32,9 @@
 capacity:
 	go run ./measure/cmd/capacity
 
+overhead:
+	go run ./measure/cmd/overhead
+
 demo: build
 	bash standin/demo/run
 
--- a/entry/telemetry/collector.go
+++ b/entry/telemetry/collector.go
@@ -20,7 +20,7 @@
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(out chan<- prometheus.Metric) {
 	c.registry.Each(func(name string, metric any) {
-		head, key, _ := strings.Cut(name, ".")
+		head, key, _ := strings.Cut(name, separator)
 		desc := prometheus.NewDesc("cassiawind_"+head, "See docs/OPERATIONS.md.", []string{"key"}, nil)
 		switch v := metric.(type) {
 		case metrics.Counter:
--- a/entry/telemetry/telemetry.go
+++ b/entry/telemetry/telemetry.go
@@ -21,6 +21,10 @@
 // averages.
 const decayAlpha = 0.015
 
+// separator joins the parts of a metric's name. Declared names do not contain
+// it; they may contain dots.
+const separator = "/"
+
 // Metrics is safe for concurrent use.
 type Metrics struct {
 	registry metrics.Registry
@@ -32,19 +36,19 @@
 	return &Metrics{registry: metrics.NewRegistry(), started: now}
 }
 
-// Count adds n to a counter. Name parts are joined with ".".
+// Count adds n to a counter. Name parts are joined with separator.
 func (m *Metrics) Count(n int64, parts ...string) {
-	metrics.GetOrRegisterCounter(strings.Join(parts, "."), m.registry).Inc(n)
+	metrics.GetOrRegisterCounter(strings.Join(parts, separator), m.registry).Inc(n)
 }
 
 // Gauge sets a gauge.
 func (m *Metrics) Gauge(v float64, parts ...string) {
-	metrics.GetOrRegisterGaugeFloat64(strings.Join(parts, "."), m.registry).Update(v)
+	metrics.GetOrRegisterGaugeFloat64(strings.Join(parts, separator), m.registry).Update(v)
 }
 
 // Observe adds a latency to a histogram, in microseconds.
 func (m *Metrics) Observe(d time.Duration, parts ...string) {
-	name := strings.Join(parts, ".")
+	name := strings.Join(parts, separator)
 	h, ok := m.registry.Get(name).(metrics.Histogram)
 	if !ok {
 		h = metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(reservoirSize, decayAlpha))
@@ -87,7 +91,7 @@
 		return byName[name]
 	}
 	m.registry.Each(func(name string, metric any) {
-		parts := strings.Split(name, ".")
+		parts := strings.Split(name, separator)
 		switch v := metric.(type) {
 		case metrics.Counter:
 			if parts[0] == "answered" {
