--- /dev/null
+++ b/entry/server/cluster_run_test.go
@@ -0,0 +1,266 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/core/quota"
+	"github.com/cassiawind/cassiawind/declare"
+	"github.com/cassiawind/cassiawind/platform/memory"
+)
+
+// Guards against VMs that found fleets of their own, or block each other, when
+// all start at once.
+func TestFleetFormsAtOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	c.start(c.vms...)
+	for _, v := range c.vms {
+		v.eventually("four members", func() bool { return v.members() == 4 })
+	}
+	c.vms[0].eventually("same epoch", func() bool {
+		for _, v := range c.vms {
+			if v.control.Epoch() != c.vms[0].control.Epoch() {
+				return false
+			}
+		}
+		return true
+	})
+	c.vms[0].eventually("all units credited", func() bool { return units(c.vms...) == quota.TotalUnits })
+}
+
+// Guards against a change that stays at the VM that read it, and a withdrawn
+// key that goes on working on a connection opened before.
+func TestWithdrawnKeyOnOpenConnection(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, nil)
+	c.start(c.vms...)
+	for _, v := range c.vms {
+		require.Equal(t, http.StatusOK, v.get(keyTwo, "/lots/1"))
+	}
+	c.config.Keys = c.config.Keys[:1]
+	c.publish()
+	for _, v := range c.vms {
+		v.eventually("key refused", func() bool {
+			reused := true
+			trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}
+			req := v.request(http.MethodGet, keyTwo, "/lots/1")
+			status, _ := v.send(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+			require.True(t, reused)
+			return status == http.StatusUnauthorized
+		})
+		require.Equal(t, c.version, v.version())
+		require.Equal(t, http.StatusOK, v.get(keyOne, "/lots/1"))
+	}
+}
+
+// Guards against a withdrawn key that works on at the VMs that have not read
+// the change when the table goes down.
+func TestWithdrawnKeySeenByOneVM(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	c.start(c.vms...)
+	for _, v := range c.vms[1:] {
+		v.gate.closed.Store(true)
+	}
+	c.config.Keys = c.config.Keys[:1]
+	c.publish()
+	c.vms[0].eventually("change seen", func() bool { return c.vms[0].version() == c.version })
+	c.setTable(memory.Faults{Down: true})
+	c.objects.SetFaults(memory.Faults{Down: true})
+	for _, v := range c.vms {
+		v.eventually("key refused", func() bool { return v.get(keyTwo, "/lots/1") == http.StatusUnauthorized })
+		require.Equal(t, http.StatusOK, v.get(keyOne, "/lots/1"))
+	}
+}
+
+// Guards against units that stay lost with a VM that stopped without notice.
+func TestHardStopReturnsUnits(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	c.start(c.vms...)
+	c.vms[0].eventually("all units credited", func() bool { return units(c.vms...) == quota.TotalUnits })
+	stopped, rest := c.vms[3], c.vms[:3]
+	stopped.cancel()
+	require.ErrorIs(t, <-stopped.done, context.Canceled)
+	stopped.done <- nil
+	rest[0].eventually("all units at the others", func() bool { return units(rest...) == quota.TotalUnits })
+	for _, v := range rest {
+		v.eventually("three members", func() bool { return v.members() == 3 })
+		require.Equal(t, http.StatusOK, v.get(keyOne, "/lots/1"))
+	}
+}
+
+// Guards against a planned stop that cuts requests and bookings in flight, and
+// units that are lost with it.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, nil)
+	c.start(c.vms...)
+	c.vms[0].eventually("all units credited", func() bool { return units(c.vms...) == quota.TotalUnits })
+	leaving, rest := c.vms[0], c.vms[1:]
+	const inFlight = 10
+	statuses := make(chan int, 2*inFlight)
+	for i := range inFlight {
+		for _, key := range []string{"", fmt.Sprint("stop-", i)} {
+			go func() {
+				req := leaving.request(http.MethodPost, keyOne, "/bookings/slow/4000")
+				if key != "" {
+					req.Header.Set("Idempotency-Key", key)
+				}
+				status, _ := leaving.send(req)
+				statuses <- status
+			}()
+		}
+	}
+	leaving.eventually("requests at the backend server", func() bool { return c.backend.active.Load() == 2*inFlight })
+	close(leaving.stop)
+	for range 2 * inFlight {
+		require.Equal(t, http.StatusOK, <-statuses)
+	}
+	require.NoError(t, <-leaving.done)
+	leaving.done <- nil
+	rest[0].eventually("left the fleet", func() bool { return rest[0].members() == 2 && rest[1].members() == 2 })
+	rest[0].eventually("all units at the others", func() bool { return units(rest...) == quota.TotalUnits })
+}
+
+// Guards against a VM that serves without being a member, and one that has no
+// configuration when it becomes one.
+func TestStartWhileTableDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	c.start(c.vms[:3]...)
+	c.setTable(memory.Faults{Down: true})
+	c.objects.SetFaults(memory.Faults{Down: true})
+	late := c.vms[3]
+	c.launch(late)
+	late.eventually("configuration from a peer", func() bool { return late.version() == c.version })
+	require.Zero(t, late.control.Epoch())
+	require.Equal(t, http.StatusServiceUnavailable, late.get(keyOne, "/v1/locate"))
+	require.Equal(t, http.StatusServiceUnavailable, late.get(keyOne, "/lots/1"))
+	c.setTable(memory.Faults{})
+	late.eventually("look-up", func() bool { return late.get(keyOne, "/v1/locate") == http.StatusOK })
+	require.NotZero(t, late.control.Epoch())
+	late.eventually("serves", func() bool { return late.get(keyOne, "/lots/1") == http.StatusOK })
+}
+
+// Guards against a join or a publish that is repeated, or given up, because its
+// answer was lost after the effect.
+func TestLostTableAnswers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			c.setTable(memory.Faults{LoseAnswers: 1})
+			time.Sleep(150 * time.Millisecond)
+		}
+	}()
+	c.start(c.vms...)
+	for _, v := range c.vms {
+		v.eventually("four members", func() bool { return v.members() == 4 })
+	}
+	for range 3 {
+		c.config.Accounts[0].RatePerSecond++
+		before := c.version
+		c.publish()
+		require.Equal(t, before+1, c.version)
+	}
+	for _, v := range c.vms {
+		v.eventually("last version", func() bool { return v.version() == c.version })
+	}
+}
+
+// Guards against the same booking run by two VMs that get it at the same moment.
+func TestSameIdempotencyKeyAtTwoVMs(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, nil)
+	c.start(c.vms...)
+	for i := range 20 {
+		key := fmt.Sprint("booking-", i)
+		statuses := make([]int, 2)
+		var group sync.WaitGroup
+		for n := range statuses {
+			group.Go(func() {
+				req := c.vms[n].request(http.MethodPost, keyOne, "/bookings/slow/20")
+				req.Header.Set("Idempotency-Key", key)
+				statuses[n], _ = c.vms[n].send(req)
+			})
+		}
+		group.Wait()
+		require.Contains(t, statuses, http.StatusOK)
+		require.Equal(t, 1, c.backend.ran(key))
+	}
+}
+
+// admitted is a request that got an answer of the backend server.
+type admitted struct{ sent, answered time.Duration }
+
+// Guards against admissions above the account's limit when units move between
+// VMs under load and a VM is stopped hard.
+func TestRateOverAllVMs(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 200.0, 100.0
+	c := newCluster(t, 4, func(d *declare.Config) { d.Accounts[0].RatePerSecond, d.Accounts[0].Burst = rate, burst })
+	c.start(c.vms...)
+	executed := c.backend.total.Load()
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	time.AfterFunc(3*time.Second, c.vms[3].cancel)
+	var mu sync.Mutex
+	var all []admitted
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				a := admitted{sent: time.Since(started)}
+				status := c.vms[i%4].get(keyOne, "/lots/1")
+				a.answered = time.Since(started)
+				if status != http.StatusOK {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	require.LessOrEqual(t, float64(c.backend.total.Load()-executed), burst+rate*time.Since(started).Seconds())
+	checkWindows(t, all, rate, burst)
+	// Half of the rate shows that the test has loaded the limit.
+	require.Greater(t, float64(len(all)), rate/2*time.Since(started).Seconds())
+}
+
+// checkWindows checks every window with bounds at multiples of 100 ms. Only
+// requests sent and answered in a window were surely admitted in it.
+func checkWindows(t *testing.T, all []admitted, rate, burst float64) {
+	const step = 100 * time.Millisecond
+	var end time.Duration
+	for _, a := range all {
+		end = max(end, a.answered)
+	}
+	for from := time.Duration(0); from < end; from += step {
+		counts := map[time.Duration]int{}
+		for _, a := range all {
+			if a.sent >= from {
+				counts[a.answered/step+1]++
+			}
+		}
+		sum := 0
+		for to := from/step + 1; to <= end/step+1; to++ {
+			sum += counts[to]
+			require.LessOrEqual(t, float64(sum), burst+rate*(to*step-from).Seconds(), "window from %s", from)
+		}
+	}
+}
