--- a/entry/server/cluster_run_test.go
+++ b/entry/server/cluster_run_test.go
@@ -3,16 +3,23 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiawind/cassiawind/core/fleet"
 	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/declare"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+	"github.com/cassiawind/cassiawind/platform"
 	"github.com/cassiawind/cassiawind/platform/memory"
 )
 
@@ -264,3 +271,91 @@
 		}
 	}
 }
+
+// evict removes a VM from the fleet row, as another VM does that has found it
+// silent for its lease. It returns the incarnation removed.
+func (c *cluster) evict(v *vm) uint64 {
+	ctx := context.Background()
+	for {
+		row, err := c.table.Get(ctx, fleet.RowKey)
+		require.NoError(c.t, err)
+		now, err := fleet.DecodeRow(row.Value)
+		require.NoError(c.t, err)
+		next := &peerv1.Fleet{Epoch: now.Epoch + 1, ChangeId: "test", WriterVm: c.vms[0].settings.VM}
+		for _, m := range now.Members {
+			if m.Vm == v.settings.VM {
+				next.Removed = m
+			} else {
+				next.Members = append(next.Members, m)
+			}
+		}
+		value, err := fleet.EncodeRow(next)
+		require.NoError(c.t, err)
+		write := platform.Write{Key: fleet.RowKey, Value: value, IfVersion: platform.IfVersion(row.Version)}
+		if _, err = c.table.Transact(ctx, []platform.Write{write}); err == nil {
+			return next.Removed.GetIncarnation()
+		}
+	}
+}
+
+// Guards against an evicted VM that stays out, keeps units of its earlier
+// incarnation, or takes messages and slow table answers of that one for its own.
+func TestEvictedVMReturnsAsNewIncarnation(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	c.start(c.vms...)
+	v := c.vms[3]
+	for range 2 {
+		v.eventually("all members and units", func() bool { return v.members() == 4 && units(c.vms...) == quota.TotalUnits })
+		c.setTable(memory.Faults{SlowMS: 100})
+		old := c.evict(v)
+		v.eventually("new incarnation", func() bool { return v.control.Self().Incarnation > old })
+		v.eventually("member again", func() bool { return v.members() == 4 })
+		c.setTable(memory.Faults{})
+	}
+	v.eventually("all members and units", func() bool { return v.members() == 4 && units(c.vms...) == quota.TotalUnits })
+	for _, v := range c.vms {
+		v.eventually("serves", func() bool { return v.get(keyOne, "/lots/1") == http.StatusOK })
+	}
+}
+
+// Guards against a region that goes on being chosen after its last backend
+// server is gone, and one that is not chosen again when it is back.
+func TestUnreachableRegionIsPassedOver(t *testing.T) {
+	t.Parallel()
+	// The address is bound only later.
+	var away string
+	c := newCluster(t, 1, func(d *declare.Config) {
+		other := d.Services[0].BackendServers[0]
+		network, _, _ := strings.Cut(other.Address, "250:")
+		away = network + "251:18090"
+		other.Name, other.Address, other.Region, other.FailureDomain = "b2", away, "r2", "d2"
+		d.Services[0].BackendServers = append(d.Services[0].BackendServers, other)
+		d.Regions = append(d.Regions, d.Regions[0])
+		d.Regions[1].Name, d.Regions[1].FailureDomains = "r2", []string{"d2"}
+		d.Regions[1].DelayMS = map[string]float64{"r1": 1}
+	})
+	v := c.vms[0]
+	v.settings.Region, v.settings.FailureDomain = "r2", "d2"
+	c.launch(v)
+	v.eventually("served by the other region", func() bool { return v.get(keyOne, "/lots/1") == http.StatusOK })
+	l, err := net.Listen("tcp", away)
+	require.NoError(t, err)
+	var answered atomic.Int64
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/health" {
+			answered.Add(1)
+		}
+		io.WriteString(w, `{"state":"serving","slots":1000,"in_flight":0}`)
+	})}
+	go srv.Serve(l)
+	v.eventually("served by the own region", func() bool {
+		v.get(keyOne, "/lots/1")
+		return answered.Load() > 0
+	})
+	srv.Close()
+	v.eventually("served by the other region again", func() bool {
+		before := c.backend.total.Load()
+		return v.get(keyOne, "/lots/1") == http.StatusOK && c.backend.total.Load() > before
+	})
+}
--- /dev/null
+++ b/entry/service/service_test.go
@@ -0,0 +1,125 @@
+package service
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/core/admission"
+	"github.com/cassiawind/cassiawind/declare"
+	"github.com/cassiawind/cassiawind/entry/policy"
+)
+
+var acme = &policy.Account{Name: "acme", Weight: 1}
+
+func newService(t *testing.T, slots ...int) *Service {
+	declared := declare.Service{Name: "lotdesk"}
+	for i, n := range slots {
+		name := string(rune('a' + i))
+		declared.BackendServers = append(declared.BackendServers, declare.BackendServer{Name: name, Region: name, Slots: n})
+	}
+	p := &policy.Policy{Services: map[string]*declare.Service{"lotdesk": &declared}}
+	s := New("lotdesk", 1)
+	s.Configure(time.Now(), p, 1)
+	require.Len(t, s.servers, len(slots))
+	return s
+}
+
+// queue admits one request and starts another that waits.
+func queue(t *testing.T, s *Service) (first Ticket, cancel context.CancelFunc, second chan error) {
+	now := time.Now()
+	first, err := s.Admit(context.Background(), now, acme, admission.Lookup, now.Add(time.Hour))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	second = make(chan error, 1)
+	go func() {
+		_, err := s.Admit(ctx, now, acme, admission.Lookup, now.Add(time.Hour))
+		second <- err
+	}()
+	for len(s.waitingIDs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return first, cancel, second
+}
+
+func (s *Service) waitingIDs() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []uint64
+	for id := range s.waiting {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func inFlight(s *Service) int {
+	_, n := s.Slots()
+	return n
+}
+
+// Guards against a slot that is lost, or counted as free twice, when a request
+// is cancelled while it waits.
+func TestCancelWaiting(t *testing.T) {
+	s := newService(t, 1)
+	first, cancel, second := queue(t, s)
+	cancel()
+	require.ErrorIs(t, <-second, context.Canceled)
+	require.Equal(t, 1, inFlight(s))
+	s.Release(first)
+	require.Zero(t, inFlight(s))
+	require.Zero(t, s.sched.InFlight())
+}
+
+// Guards against a request counted as ended that was never admitted: it was
+// given up and its caller went away at the same moment.
+func TestCancelGivenUp(t *testing.T) {
+	s := newService(t, 1)
+	first, cancel, _ := queue(t, s)
+	defer cancel()
+	id := s.waitingIDs()[0]
+	s.mu.Lock()
+	ch := s.waiting[id]
+	s.displace(&admission.Expired{ID: id})
+	s.mu.Unlock()
+	s.cancel(id, ch)
+	require.Equal(t, 1, inFlight(s))
+	s.Release(first)
+	require.Zero(t, inFlight(s))
+}
+
+// Guards against a slot that stays in use when a request is admitted and its
+// caller goes away at the same moment.
+func TestCancelAdmitted(t *testing.T) {
+	s := newService(t, 1)
+	first, cancel, _ := queue(t, s)
+	defer cancel()
+	id := s.waitingIDs()[0]
+	s.mu.Lock()
+	ch := make(chan result, 1)
+	s.waiting[id] = ch
+	s.mu.Unlock()
+	s.Release(first)
+	require.Equal(t, 1, inFlight(s))
+	s.cancel(id, ch)
+	require.Zero(t, inFlight(s))
+	require.Zero(t, s.sched.InFlight())
+}
+
+// Guards against answers that are no report being taken for one, and a region
+// that counts as failed while its servers answer requests.
+func TestLoads(t *testing.T) {
+	s := newService(t, 4, 8)
+	now := time.Now()
+	s.report(now, "a", Health{State: stateServing, Slots: 4, InFlight: 3}, nil)
+	for range lostPolls {
+		s.report(now, "b", Health{}, ErrReport)
+	}
+	loads := s.Loads(now)
+	require.Equal(t, RegionLoad{Servers: 1, InFlight: 3, Slots: 4, ReportedAt: now}, loads["a"])
+	require.Equal(t, RegionLoad{Servers: 1, Unreachable: 1}, loads["b"])
+	s.observed["b"].answeredAt = now
+	require.Zero(t, s.Loads(now)["b"].Unreachable)
+	require.Equal(t, 1, s.Loads(now.Add(answerValidity))["b"].Unreachable)
+}
