core/quota: no movement of units under balanced load

Now a VM asks only for tokens that its own units do not earn within 60 ms, a giver whose own requests wait gives only to a clearly greater demand, requests that wait are counted exactly (Retry is separate from Take) and are served first, and limits with a small burst have a home in each region.

Take: 82 ns without allocation.

--- a/core/quota/asking.go
+++ b/core/quota/asking.go
@@ -14,26 +14,30 @@
 	answerTime = 150 * time.Millisecond
 	// deniedMemory is how long a peer that could give nothing is not asked
 	// again for the same limit.
-	deniedMemory = 300 * time.Millisecond
+	deniedMemory = 150 * time.Millisecond
 	// homeDeniedMemory is shorter, since units come back to the home.
 	homeDeniedMemory = 100 * time.Millisecond
 	// After all peers could give nothing, the next cycle of requests waits
 	// for a pause that doubles from minPause to maxPause.
 	minPause = 100 * time.Millisecond
 	maxPause = 1600 * time.Millisecond
-	// tokenHorizon is the time for which tokens are asked in advance.
-	tokenHorizon = 250 * time.Millisecond
-	// lowHorizon is the time that the tokens last when more are asked for.
-	lowHorizon = 120 * time.Millisecond
+	// ownHorizon is the time within which a VM waits for its own units rather
+	// than ask. With 110 ms, one round trip between regions, a VM that earned
+	// a little less than its demand had requests wait for all of MaxWait.
+	ownHorizon = 60 * time.Millisecond
 	// cycleInterval is the least time between cycles with answers outstanding.
 	cycleInterval = 10 * time.Millisecond
-	// minRateTime is the least time over which waiting requests make a rate.
-	minRateTime  = 50 * time.Millisecond
-	rateRequests = 4
 	// maxAsked bounds the peers asked in one cycle.
 	maxAsked = 16
 	// demandMargin is how much more than the demand a VM wants to hold.
 	demandMargin = 1.25
+	// shortMargin is the part of the demand below which a VM asks for more
+	// although no request waits. The distance to demandMargin covers the noise
+	// of the average: VMs that follow it pull units back and forth, and units
+	// in flight earn no tokens.
+	shortMargin = 1.05
+	// pullInterval is the least time between such requests.
+	pullInterval = time.Second
 	// minMove is the least number of units moved for the demand alone, if they
 	// hold a token.
 	minMove = TotalUnits / 128
@@ -45,42 +49,28 @@
 	tokens   float64   // asked for in the last cycle
 	until    time.Time // end of the wait for answers
 	answers  int       // outstanding
+	pulledAt time.Time // last request for the demand alone
 	pausedTo time.Time
 	pause    time.Duration
-
-	waitingTokens float64 // of refused requests that may be waiting
-	waitingFrom   time.Time
-	waitingAt     time.Time
 }
 
-func (a *asking) wait(now time.Time, n float64) {
-	if a.waiting(now) == 0 {
-		a.waitingTokens, a.waitingFrom = 0, now
+// missing returns the tokens to ask for now, given the tokens that are missing
+// for the waiting requests. While answers are outstanding, a cycle starts only
+// for as much again as has been asked for.
+func (a *asking) missing(now time.Time, tokens float64) float64 {
+	if !a.open(now) {
+		return tokens
 	}
-	a.waitingTokens += n
-	a.waitingAt = now
-}
-
-func (a *asking) waiting(now time.Time) float64 {
-	if now.Sub(a.waitingAt) > MaxWait {
+	if now.Sub(a.at) < cycleInterval || tokens < 2*a.tokens || a.tokens == 0 {
 		return 0
 	}
-	return a.waitingTokens
+	return tokens - a.tokens
 }
 
-// waitingRate estimates the demand from the requests that wait beyond the first
-// rateRequests, in tokens per second. Few requests make no rate.
-func (a *asking) waitingRate(now time.Time) float64 {
-	return max(0, a.waiting(now)-rateRequests) / max(now.Sub(a.waitingFrom), minRateTime).Seconds()
-}
-
-// busy tells whether a further cycle has to wait. While answers are
-// outstanding, a cycle starts only when the waiting requests have doubled.
-func (a *asking) busy(now time.Time) bool {
-	if now.Before(a.pausedTo) {
-		return true
-	}
-	return a.open(now) && (now.Sub(a.at) < cycleInterval || a.waiting(now) < 2*a.tokens || a.tokens == 0)
+// pausedBriefly tells that the requests start again soon. A peer may refuse
+// once because it has not noticed yet that its traffic has moved away.
+func (a *asking) pausedBriefly(now time.Time) bool {
+	return now.Before(a.pausedTo) && a.pause <= 2*minPause
 }
 
 // open tells whether answers are outstanding.
@@ -107,18 +97,15 @@
 	units   uint32
 }
 
-// low tells that the tokens of a busy limit end before a request for more
-// could be answered.
-func (s *state) low(now time.Time) bool {
-	reserve := s.demand.perSecond(now) * lowHorizon.Seconds()
-	return reserve >= 1 && s.tokens < reserve && s.units < TotalUnits
-}
-
 // wantsMore tells whether the demand justifies more units although no request
 // waits.
 func (m *Manager) wantsMore(now time.Time, s *state) bool {
-	want := wanted(s.demandUnits(now))
-	return want > s.units && want-s.units > max(s.minMove(), s.units/8)
+	if now.Sub(s.asking.pulledAt) < pullInterval {
+		return false
+	}
+	demand := s.demandUnits(now)
+	want := wanted(demand)
+	return float64(s.units) < float64(demand)*shortMargin && want-s.units >= s.minMove()
 }
 
 // minMove returns the least units moved for the demand alone. Parts that
@@ -130,18 +117,52 @@
 	return uint32(min(float64(demandUnits)*demandMargin, TotalUnits))
 }
 
+// ownTime returns the time in which the own units earn the tokens that the
+// waiting requests need, at least one.
+func (s *state) ownTime(now time.Time) time.Duration {
+	rate := s.rate()
+	if rate <= 0 {
+		return MaxWait
+	}
+	seconds := max(1, s.waiting.tokens(now)-s.tokens) / rate
+	return min(MaxWait, time.Duration(seconds*float64(time.Second)))
+}
+
+// ownSuffice tells whether the own units serve the waiting requests within the
+// time.
+func (s *state) ownSuffice(now time.Time, n float64, within time.Duration) bool {
+	return s.capacity() >= n && s.ownTime(now) < within
+}
+
+// askForWaiting asks for the tokens that the own units do not earn before an
+// answer could arrive. Asking for more would keep units in flight for nothing.
+func (m *Manager) askForWaiting(now time.Time, s *state) []Send {
+	waiting := s.waiting.tokens(now)
+	if waiting == 0 || s.ownSuffice(now, 1, ownHorizon) {
+		return nil
+	}
+	missing := waiting - s.tokens
+	if s.capacity() >= 1 {
+		missing -= s.rate() * ownHorizon.Seconds()
+	}
+	return m.ask(now, s, max(1, missing))
+}
+
 // ask sends requests for units, and for tokens if a request waits (tokens > 0).
-// At most one cycle of requests is open for each limit.
 func (m *Manager) ask(now time.Time, s *state, tokens float64) []Send {
-	if m.leaving || len(m.peers) == 0 || s.units == TotalUnits || s.asking.busy(now) {
+	if m.leaving || len(m.peers) == 0 || s.units == TotalUnits || now.Before(s.asking.pausedTo) {
 		return nil
 	}
 	demand := s.demandUnits(now)
 	need := int64(wanted(demand)) - int64(s.units)
 	if tokens > 0 {
-		tokens = min(max(tokens, s.asking.waiting(now), s.demand.perSecond(now)*tokenHorizon.Seconds()), s.limit.Burst)
-		carry := int64(s.unitsFor(tokens))
-		need = max(need, carry, int64(s.unitsFor(s.tokens+tokens))-int64(s.units))
+		tokens = min(s.asking.missing(now, tokens), s.limit.Burst)
+		if tokens <= 0 {
+			return nil
+		}
+		need = max(need, int64(s.unitsFor(tokens)), int64(s.unitsFor(s.tokens+tokens))-int64(s.units))
+	} else if s.asking.open(now) {
+		return nil
 	}
 	need = min(need, TotalUnits-int64(s.units))
 	if need <= 0 {
@@ -157,6 +178,9 @@
 	if !s.asking.open(now) {
 		s.asking.answers = 0
 	}
+	if tokens == 0 {
+		s.asking.pulledAt = now
+	}
 	s.asking.at, s.asking.tokens, s.asking.until = now, tokens, now.Add(answerTime)
 	s.asking.answers += len(chosen)
 	sends := make([]Send, 0, len(chosen))
@@ -209,7 +233,7 @@
 	chosen := make([]candidate, 0, 4)
 	left, limit := need, maxAsked
 	if s.small && waiting && s.home >= 0 && now.Sub(s.hints[s.home].deniedAt) >= homeDeniedMemory {
-		chosen, limit = append(chosen, candidate{peer: s.home, surplus: need}), 2
+		chosen, limit = append(chosen, candidate{peer: s.home, surplus: need}), 1+max(1, m.regions-1)
 	}
 	for _, c := range all {
 		if left <= 0 || len(chosen) == limit {
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -45,6 +45,7 @@
 	tokens   float64
 	filledAt time.Time
 	demand   demand
+	waiting  waiting
 
 	round    uint64
 	recorded uint32 // holding at the entry into the round
@@ -110,10 +111,9 @@
 	return uint32(math.Ceil(tokens / s.limit.Burst * TotalUnits))
 }
 
-// demandUnits returns the recent demand in units. Requests that wait are not
-// yet part of the average.
+// demandUnits returns the recent demand in units.
 func (s *state) demandUnits(now time.Time) uint32 {
-	return s.unitsOfRate(max(s.demand.perSecond(now), s.asking.waitingRate(now)))
+	return s.unitsOfRate(s.demand.perSecond(now))
 }
 
 // unitsOfRate returns the units that earn the rate.
--- a/core/quota/manager.go
+++ b/core/quota/manager.go
@@ -20,6 +20,7 @@
 	// limit removed by mistake is served again at once when it returns.
 	removedMemory = time.Minute
 	milliPerToken = 1000
+	minWaitFor    = time.Millisecond
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
 )
@@ -28,9 +29,11 @@
 type Decision struct {
 	OK bool
 	// Wait tells that tokens may be here within MaxWait: the caller keeps the
-	// request and calls Take again after each Receive of a QuotaTransfer and
-	// after each Tick.
+	// request and calls Retry after each Receive of a QuotaTransfer, after each
+	// Tick, and after WaitFor.
 	Wait bool
+	// WaitFor is the time in which this VM's own units earn the tokens.
+	WaitFor time.Duration
 	// RetryAfter estimates when tokens are available; 0 if OK.
 	RetryAfter time.Duration
 	Sends      []Send
@@ -68,6 +71,7 @@
 	incarnation uint64        // of this VM in the fleet
 	near        string        // region of this VM
 	peers       []*peer       // by VM id
+	regions     int           // of the members
 	future      []early
 
 	leaving bool
@@ -118,9 +122,33 @@
 }
 
 // Take takes n tokens of the limit, or tells whether waiting is worthwhile. It
-// does not check the lease. An unknown limit and more tokens than the burst
-// are refused.
+// is called once for each request; a request that waits calls Retry. It does
+// not check the lease. An unknown limit and more tokens than the burst are
+// refused.
 func (m *Manager) Take(now time.Time, limit string, n float64) Decision {
+	s, ok := m.limits[limit]
+	if !ok || !s.configured || !m.member || n > s.limit.Burst {
+		return Decision{RetryAfter: maxRetryAfter}
+	}
+	s.refill(now)
+	s.demand.add(now, n)
+	// Requests that wait are served first.
+	if s.tokens >= n+s.waiting.tokens(now) {
+		s.tokens -= n
+		return Decision{OK: true}
+	}
+	s.waiting.add(now, n)
+	d := m.short(now, s, n)
+	if !d.Wait && s.tokens >= n {
+		s.tokens -= n
+		d.OK, d.RetryAfter = true, 0
+	}
+	return d
+}
+
+// Retry is Take for a request that waits. A request stops waiting when it has
+// its tokens, when Wait is false, or after MaxWait without a call.
+func (m *Manager) Retry(now time.Time, limit string, n float64) Decision {
 	s, ok := m.limits[limit]
 	if !ok || !s.configured || !m.member || n > s.limit.Burst {
 		return Decision{RetryAfter: maxRetryAfter}
@@ -128,25 +156,31 @@
 	s.refill(now)
 	if s.tokens >= n {
 		s.tokens -= n
-		s.demand.add(now, n)
-		d := Decision{OK: true}
-		if s.low(now) {
-			d.Sends = m.ask(now, s, s.demand.perSecond(now)*tokenHorizon.Seconds())
-		}
-		return d
+		s.waiting.remove(now, n)
+		return Decision{OK: true}
 	}
 	return m.short(now, s, n)
 }
 
-// short handles a Take that found too few tokens.
+// short handles a request that found too few tokens.
 func (m *Manager) short(now time.Time, s *state, n float64) Decision {
-	s.asking.wait(now, n)
-	sends := m.ask(now, s, n)
-	wait := s.asking.open(now) || s.asking.pausedTo.Sub(now) <= minPause && !s.asking.pausedTo.IsZero() && s.asking.pause <= minPause || (s.capacity() >= n && (n-s.tokens) <= s.rate()*MaxWait.Seconds())
-	if !wait {
-		s.demand.add(now, n)
+	sends := m.askForWaiting(now, s)
+	d := Decision{RetryAfter: m.retryAfter(s, n), Sends: sends}
+	if s.asking.open(now) || s.ownSuffice(now, n, MaxWait) || s.asking.pausedBriefly(now) {
+		d.Wait, d.WaitFor = true, s.nextTime(n)
+		return d
+	}
+	s.waiting.remove(now, n)
+	return d
+}
+
+// nextTime returns the time in which the own units earn n tokens.
+func (s *state) nextTime(n float64) time.Duration {
+	if s.capacity() < n {
+		return MaxWait
 	}
-	return Decision{Wait: wait, RetryAfter: m.retryAfter(s, n), Sends: sends}
+	seconds := (n - s.tokens) / s.rate()
+	return min(MaxWait, max(minWaitFor, time.Duration(seconds*float64(time.Second))))
 }
 
 // retryAfter estimates the time until the fleet has earned n tokens for this
@@ -185,9 +219,8 @@
 			continue
 		}
 		s.refill(now)
-		if waiting := s.asking.waiting(now); waiting > 0 {
-			sends = append(sends, m.ask(now, s, waiting)...)
-			s.asking.waitingTokens = 0 // the caller calls Take again
+		if s.waiting.tokens(now) > 0 {
+			sends = append(sends, m.askForWaiting(now, s)...)
 		} else if m.wantsMore(now, s) {
 			sends = append(sends, m.ask(now, s, 0)...)
 		} else {
--- a/core/quota/reconcile.go
+++ b/core/quota/reconcile.go
@@ -104,7 +104,9 @@
 func (m *Manager) setPeers(f *peerv1.Fleet) {
 	before := m.peers
 	m.peers = nil
+	regions := map[string]bool{}
 	for _, v := range f.GetMembers() {
+		regions[v.GetRegion()] = true
 		if v.GetVm() == m.self {
 			m.near = v.GetRegion()
 			continue
@@ -117,6 +119,7 @@
 		}
 		m.peers = append(m.peers, p)
 	}
+	m.regions = len(regions)
 	slices.SortFunc(m.peers, func(a, b *peer) int { return cmp.Compare(a.member.GetVm(), b.member.GetVm()) })
 	for _, p := range m.peers {
 		p.near = p.member.GetRegion() == m.near
--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -14,6 +14,10 @@
 	// keepMargin is how much more than its own demand a giver keeps. It is
 	// below demandMargin so that two VMs do not pull units back and forth.
 	keepMargin = 1.1
+	// minShare is the least part of its units, as a divisor, that a VM gives
+	// while its own requests wait. The demands of two VMs under the same load
+	// differ by less.
+	minShare = 4
 	// maxEarly bounds the messages kept of an epoch not yet entered.
 	maxEarly = 512
 )
@@ -65,7 +69,7 @@
 		}
 		return units, s.tokens * float64(units) / float64(max(1, s.units))
 	}
-	waiting := s.asking.waiting(now) > 0
+	waiting := s.waiting.tokens(now) > 0
 	if s.capacity() < 1 {
 		// These units cannot hold a whole token. Of two VMs in need, the one
 		// that holds more gets them, so that they add up somewhere.
@@ -78,16 +82,24 @@
 		spare := s.tokens - math.Floor(s.demand.perSecond(now)*reserveHorizon.Seconds())
 		tokens = max(0, min(spare, float64(q.GetMilliTokens())/milliPerToken))
 	}
-	// The requester cannot know its demand yet when traffic has just moved to
-	// it: half of what is spare here saves it several round trips.
-	units = min(max(units, s.unitsFor(tokens), spareUnits/2), s.units)
-	if waiting && units < s.minMove() {
+	if !s.small {
+		units = max(units, s.gift(spareUnits, q))
+	}
+	if s.small || q.GetHeldUnits() < q.GetDemandUnits() || s.limit.Burst*part(q.GetHeldUnits()) < 1 {
+		units = max(units, s.unitsFor(tokens))
+	} else {
+		// The requester earns enough: its shortage passes. The units that its
+		// tokens need must not be missing here.
+		units = max(units, min(s.unitsFor(tokens), spareUnits))
+	}
+	units = min(units, s.units)
+	if waiting && units < max(s.minMove(), s.units/minShare) {
 		return 0, 0
 	}
 	if s.units-units < s.unitsFor(1) && !waiting && units > 0 {
 		units = s.units // the rest could not hold a token
 	}
-	return units, max(tokens, s.tokens*float64(units)/float64(max(1, s.units)))
+	return units, max(min(tokens, s.limit.Burst*part(units)), s.tokens*float64(units)/float64(max(1, s.units)))
 }
 
 // spareUnits returns the units that the demand here does not need. If the demand of both
@@ -102,6 +114,14 @@
 	return uint32(max(0, float64(s.units)-keep))
 }
 
+// gift returns the units to give beyond those asked for. A requester to which
+// traffic has just moved cannot know its demand: an even division of what both
+// hold beyond their demand saves it several round trips.
+func (s *state) gift(spare uint32, q *peerv1.QuotaRequest) uint32 {
+	theirs := float64(q.GetHeldUnits()) - float64(q.GetDemandUnits())*keepMargin
+	return uint32(max(0, float64(spare)-max(0, theirs)) / 2)
+}
+
 // accept adds the units of a transfer, once.
 func (m *Manager) accept(now time.Time, p int, t *peerv1.QuotaTransfer) []Send {
 	s := m.state(now, t.GetLimit())
@@ -119,13 +139,12 @@
 		if s.asking.tokens > 0 {
 			h.deniedAt = now
 		}
-		if w := s.asking.waiting(now); w > 0 && s.asking.answers == 0 {
-			return m.ask(now, s, w)
+		if s.asking.answers == 0 {
+			s.refill(now)
+			return m.askForWaiting(now, s)
 		}
 		return nil
 	}
-	// The caller calls Take again for every waiting request.
-	s.asking.waitingTokens = 0
 	return nil
 }
 
