once, shutdown, declare: faults seen in the integration

GiveUp could return a release to carry out, which the entry process does not do while another step is in progress; the release was lost and the key stayed claimed for 24 hours. GiveUp now only answers, and the step in progress leads to the release.

Bookings with a pending background write counted as requests in flight, so that a planned stop during a store outage waited for the whole bound and reported interruptions. They are a separate input with a bound of 5 s.

The least stop time-out left 39 s for requests in flight after the announcement margin of the entry process, below the longest deadline of 40 s; it is 2 s longer.

--- a/core/once/attempt.go
+++ b/core/once/attempt.go
@@ -351,25 +351,34 @@
 }
 
 // GiveUp answers the caller if it has no answer yet: at GiveUpAt, or when the
-// caller goes away. A pending Wait is dropped, a pending result is still taken.
-// It has no effect once the request may have been dispatched, after which only
-// Dispatched answers. A claim that is or may be stored is released in the
-// background.
+// caller goes away. The step has the response and nothing else to do: the step
+// that is being carried out goes on, and its result leads to the release of a
+// claim that is or may be stored. GiveUp has no effect once the request may have
+// been dispatched, after which only Dispatched answers.
 func (a *Attempt) GiveUp(now time.Time) Step {
 	if a.answered || a.phase == dispatching {
 		return a.idle()
 	}
-	return a.giveUp(now)
-}
-
-func (a *Attempt) giveUp(now time.Time) Step {
-	a.retry = nil
 	response := a.respond(a.withoutOutcome())
 	switch {
 	case a.phase == claiming && a.pending:
 		// The pending result decides whether there is a claim to release.
-		return Step{Response: response}
-	case a.unsure:
+	case !a.unsure:
+		a.phase = finished
+		a.retry = nil
+	case a.pending:
+		a.beginSettle(now, a.released())
+		a.settle.reading = true
+	default:
+		a.retry = a.release
+	}
+	return Step{Response: response}
+}
+
+// giveUp is GiveUp at a moment when the attempt waits for nothing.
+func (a *Attempt) giveUp(now time.Time) Step {
+	response := a.respond(a.withoutOutcome())
+	if a.unsure {
 		return withResponse(a.release(now), response)
 	}
 	return withResponse(a.finish(), response)
--- a/core/once/settle.go
+++ b/core/once/settle.go
@@ -28,15 +28,19 @@
 // release writes that the request was not run. If it is not known whether the
 // claim is in the table, the row is read first.
 func (a *Attempt) release(now time.Time) Step {
-	record := a.claim
-	record.State = StateReleased
-	a.beginSettle(now, record)
+	a.beginSettle(now, a.released())
 	if a.version == 0 {
 		return a.settleRead()
 	}
 	return a.settleWrite(now)
 }
 
+func (a *Attempt) released() Record {
+	record := a.claim
+	record.State = StateReleased
+	return record
+}
+
 // store writes the outcome, with a large body as an object first.
 func (a *Attempt) store(now time.Time, o Outcome) Step {
 	record := a.claim
--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -45,6 +45,9 @@
 	// Finish bounds the phase Finishing; default 40 s, the longest deadline of
 	// a route, by which every request has its answer.
 	Finish time.Duration
+	// Settle bounds the wait for background writes after the last response;
+	// default 5 s. It is part of the phase Finishing and within its bound.
+	Settle time.Duration
 	// LeaveFleet bounds the phase LeavingFleet; default 5 s. A VM that could
 	// not remove itself, because the store is down, is evicted later.
 	LeaveFleet time.Duration
@@ -55,6 +58,7 @@
 	DefaultLookupValidity = 5 * time.Second
 	DefaultHandOver       = 5 * time.Second
 	DefaultFinish         = 40 * time.Second
+	DefaultSettle         = 5 * time.Second
 	DefaultLeaveFleet     = 5 * time.Second
 )
 
@@ -73,6 +77,9 @@
 type Input struct {
 	// InFlight is the number of requests without a complete response.
 	InFlight int
+	// Background is the number of writes that no caller waits for, such as
+	// outcomes of bookings on their way to the table.
+	Background int
 	// Units is the number of quota units held, over all limits.
 	Units uint64
 	// LeftFleet tells that the fleet row no longer holds the VM.
@@ -104,9 +111,11 @@
 
 // Machine is the planned stop of one VM. Its settings are in Config.
 type Machine struct {
-	cfg         Config
-	phase       Phase
-	since       time.Time
+	cfg   Config
+	phase Phase
+	since time.Time
+	// idle is the time since which no request is in flight, or zero.
+	idle        time.Time
 	interrupted int
 }
 
@@ -120,6 +129,7 @@
 	set(&cfg.LookupValidity, DefaultLookupValidity)
 	set(&cfg.HandOver, DefaultHandOver)
 	set(&cfg.Finish, DefaultFinish)
+	set(&cfg.Settle, DefaultSettle)
 	set(&cfg.LeaveFleet, DefaultLeaveFleet)
 	return &Machine{cfg: cfg}
 }
@@ -140,6 +150,12 @@
 // every 100 ms and at each change of the input.
 func (m *Machine) Step(now time.Time, in Input) Output {
 	before := m.phase
+	switch {
+	case in.InFlight > 0:
+		m.idle = time.Time{}
+	case m.idle.IsZero():
+		m.idle = now
+	}
 	for m.over(now, in) {
 		if m.phase == Finishing {
 			m.interrupted = in.InFlight
@@ -168,7 +184,8 @@
 	case HandingOver:
 		return in.Units == 0 || spent >= m.cfg.HandOver
 	case Finishing:
-		return in.InFlight == 0 || spent >= m.cfg.Finish
+		settled := in.Background == 0 || now.Sub(m.idle) >= m.cfg.Settle
+		return in.InFlight == 0 && settled || spent >= m.cfg.Finish
 	case LeavingFleet:
 		return in.LeftFleet || spent >= m.cfg.LeaveFleet
 	}
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -58,6 +58,20 @@
 	require.Equal(t, 2, m.Step(at(61), stuck).Interrupted)
 }
 
+// Guards against a stop that is held up by, or counts as interrupted, writes that
+// cannot be made because the store is down.
+func TestBackgroundWritesAreBounded(t *testing.T) {
+	m := New(Config{})
+	m.Begin(start)
+	m.Step(at(5), Input{InFlight: 1, Background: 3})
+	require.Equal(t, Finishing, m.Step(at(20), Input{InFlight: 1, Background: 3}).Phase)
+	require.Equal(t, Finishing, m.Step(at(21), Input{Background: 3}).Phase)
+	require.Equal(t, Finishing, m.Step(at(25.9), Input{Background: 3}).Phase)
+	out := m.Step(at(26), Input{Background: 3})
+	require.Equal(t, LeavingFleet, out.Phase)
+	require.Zero(t, out.Interrupted)
+}
+
 // Guards against a phase that is skipped by a VM that was paused.
 func TestPausedDuringStop(t *testing.T) {
 	m := New(Config{})
--- a/declare/settings.go
+++ b/declare/settings.go
@@ -25,9 +25,10 @@
 	maxLookupValidityMS = 60_000
 	maxStopTimeoutMS    = 600_000
 	// StopReserveMS is the part of a planned stop besides the validity of
-	// lookup responses: the longest deadline of a route, 5 s for handing over
-	// and 5 s for leaving the fleet.
-	StopReserveMS = MaxDeadlineMS + 10_000
+	// lookup responses: 1 s for the announcement, 5 s for handing over, the
+	// longest deadline of a route with 1 s for the end of its response, and 5 s
+	// for leaving the fleet.
+	StopReserveMS = MaxDeadlineMS + 12_000
 )
 
 const (
