--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -232,9 +232,13 @@
 	next.Accounts[0].Burst = 20
 	next.Keys[0].SHA256 = hash("c")
 	next.Blocks = next.Blocks[:1]
+	next.Services[0].Name = "office"
 	require.Equal(t, []string{
 		"account acme: burst changed from 10 to 20",
 		"key acme-1: sha256 changed",
+		"service desk removed",
+		"service office added",
+		"backend server desk-1: service changed from desk to office",
 		"client block 10.1.0.0/16 removed",
 		"drain e added",
 	}, Diff(old, next))
--- a/declare/diff.go
+++ b/declare/diff.go
@@ -43,6 +43,7 @@
 	lines = append(lines, diffList(kindKey, old.Keys, next.Keys, func(k *Key) string { return k.Name })...)
 	lines = append(lines, diffList(kindService, old.Services, next.Services, func(s *Service) string { return s.Name })...)
 	lines = append(lines, diffList(kindServer, servers(old), servers(next), func(b *BackendServer) string { return b.Name })...)
+	lines = append(lines, diffPlaces(old, next)...)
 	lines = append(lines, diffList(kindRoute, old.Routes, next.Routes, func(r *Route) string { return r.Name })...)
 	lines = append(lines, diffList(kindRegion, old.Regions, next.Regions, func(r *Region) string { return r.Name })...)
 	lines = append(lines, diffList(kindLink, old.Links, next.Links, func(l *Link) string { return fmt.Sprintf(linkFormat, l.From, l.To) })...)
@@ -54,6 +55,25 @@
 	return append(lines, diffList(kindDrain, old.Drains, next.Drains, func(d *Drain) string { return d.Name })...)
 }
 
+// diffPlaces says which backend servers moved to another service.
+func diffPlaces(old, next *Config) []string {
+	place := map[string]string{}
+	for _, s := range old.Services {
+		for _, b := range s.BackendServers {
+			place[b.Name] = s.Name
+		}
+	}
+	var lines []string
+	for _, s := range next.Services {
+		for _, b := range s.BackendServers {
+			if from, ok := place[b.Name]; ok && from != s.Name {
+				lines = append(lines, fmt.Sprintf(changedFormat, kindServer, b.Name, kindService, from, s.Name))
+			}
+		}
+	}
+	return lines
+}
+
 // servers returns the backend servers of all services.
 func servers(c *Config) []BackendServer {
 	var all []BackendServer
