--- a/measure/trafficsim/experiments.go
+++ b/measure/trafficsim/experiments.go
@@ -10,9 +10,11 @@
 var Experiments = []Experiment{
 	{experimentPeak, LookupsAtPeak},
 	{experimentLeaving, LeavingServer},
+	{experimentReports, ReportsStop},
 	{experimentFailure, RegionFailure},
 	{experimentStale, StaleMeasurement},
 	{experimentFairness, OverloadFairness},
+	{experimentKilled, VMKilled},
 	{experimentSlots, SlotsPerVM},
 	{experimentAllLayers, OverloadAllLayers},
 }
