--- /dev/null
+++ b/entry/locate/locate_test.go
@@ -0,0 +1,98 @@
+package locate
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/declare"
+	"github.com/cassiawind/cassiawind/entry/control"
+	"github.com/cassiawind/cassiawind/entry/policy"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+)
+
+// state is a fleet of VMs in two regions.
+type state struct {
+	policy atomic.Pointer[policy.Policy]
+	vms    int
+}
+
+func (s *state) Policy() *policy.Policy { return s.policy.Load() }
+func (s *state) Peers() []control.PeerState {
+	var out []control.PeerState
+	for i := range s.vms {
+		name := fmt.Sprint("vm", i)
+		out = append(out, control.PeerState{Member: &peerv1.Member{Vm: name, CallerAddress: name, Region: fmt.Sprint("r", i%2)}, Alive: true})
+	}
+	return out
+}
+func (s *state) HoldersNow(time.Time, string) map[string]uint32 { return map[string]uint32{"vm3": 1} }
+
+func newState(t *testing.T, vms int) *state {
+	s := &state{vms: vms}
+	s.policy.Store(compile(t, 1))
+	return s
+}
+
+func compile(t *testing.T, version uint64) *policy.Policy {
+	p, err := policy.Compile(version, &declare.Config{
+		Regions: []declare.Region{{Name: "r0"}, {Name: "r1"}},
+		Blocks:  []declare.Block{{Prefix: "10.0.0.0/16", Region: "r0"}, {Prefix: "10.1.0.0/16", Region: "r1"}, {Prefix: "10.2.0.0/16", Region: "gone"}},
+	})
+	require.NoError(t, err)
+	return p
+}
+
+// Guards against look-ups that race with each other and with a new
+// configuration; the race detector finds them.
+func TestConcurrentLocate(t *testing.T) {
+	s := newState(t, 6)
+	l := New(s, 5000)
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			for i := range 300 {
+				answer, ok := l.Locate(fmt.Sprintf("10.%d.0.%d:80", i%3, worker), "")
+				if !ok || len(answer.Entries) != 6 {
+					t.Errorf("answer with %d entries", len(answer.Entries))
+					return
+				}
+			}
+		})
+	}
+	for version := range uint64(20) {
+		s.policy.Store(compile(t, version+2))
+	}
+	group.Wait()
+}
+
+// Guards against a caller that is sent to other VMs with each connection it
+// opens, and one that is not sent to its nearest region.
+func TestLocateByAddress(t *testing.T) {
+	l := New(newState(t, 6), 5000)
+	first, ok := l.Locate("10.1.0.7:1000", "")
+	require.True(t, ok)
+	second, _ := l.Locate("10.1.0.7:2000", "")
+	require.Equal(t, first, second)
+	require.Equal(t, "r1", first.Region)
+	for _, e := range first.Entries[:3] {
+		require.Equal(t, "r1", e.Region)
+	}
+}
+
+// Guards against an empty answer of a VM that knows of no members, which a
+// caller would use for its whole validity.
+func TestLocateWithoutMembers(t *testing.T) {
+	h, err := New(newState(t, 0), 5000).Handler()
+	require.NoError(t, err)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path, nil))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "1", w.Header().Get("Retry-After"))
+}
--- a/entry/server/cluster_run_test.go
+++ b/entry/server/cluster_run_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiawind/cassiawind/core/fleet"
@@ -359,3 +360,88 @@
 		return v.get(keyOne, "/lots/1") == http.StatusOK && c.backend.total.Load() > before
 	})
 }
+
+// Guards against a planned stop that cuts or rejects requests of callers that
+// send to a VM only while an answer to a look-up that names it is valid.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, nil)
+	c.start(c.vms...)
+	for _, v := range c.vms {
+		v.eventually("three members", func() bool { return v.members() == 3 })
+	}
+	leaving, other := c.vms[0], c.vms[1]
+	http2 := new(http.Protocols)
+	http2.SetUnencryptedHTTP2(true)
+	transports := []*http.Transport{{MaxIdleConnsPerHost: 16}, {Protocols: http2}}
+	var group sync.WaitGroup
+	results := make(chan error, 32)
+	for i := range cap(results) {
+		transport := transports[i%len(transports)]
+		group.Go(func() {
+			var err error
+			for err == nil && other.names(leaving) {
+				err = sendBooking(transport, leaving.request(http.MethodPost, keyOne, "/bookings/slow/5"))
+			}
+			results <- err
+		})
+	}
+	leaving.eventually("load", func() bool { return c.backend.total.Load() > 100 })
+	close(leaving.stop)
+	require.NoError(t, <-leaving.done)
+	leaving.done <- nil
+	group.Wait()
+	close(results)
+	for err := range results {
+		require.NoError(t, err)
+	}
+}
+
+// names reports whether a VM names another in its answer to a look-up. It is
+// asked before each request, so that the answer is valid.
+func (v *vm) names(other *vm) bool {
+	status, body := v.send(v.request(http.MethodGet, keyOne, "/v1/locate"))
+	return status == http.StatusOK && strings.Contains(body, other.settings.CallerAddress)
+}
+
+var errAnswer = errors.New("answer is not the one of the backend server")
+
+// sendBooking returns an error unless the answer of the backend server is whole.
+func sendBooking(transport *http.Transport, req *http.Request) error {
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if string(content) != "done" {
+		return errors.Wrap(errAnswer, resp.Status)
+	}
+	return nil
+}
+
+// Guards against units of some limits that are never told to the other VMs, so
+// that nobody asks for them.
+func TestHoldingsAreTold(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, func(d *declare.Config) {
+		for i := range 20 {
+			d.Accounts = append(d.Accounts, declare.Account{Name: fmt.Sprint("a", i), RatePerSecond: 10, Burst: 10})
+		}
+	})
+	c.start(c.vms...)
+	for i, v := range c.vms {
+		other := c.vms[1-i]
+		v.eventually("holdings of the other VM", func() bool {
+			for _, l := range other.control.LimitStatus(time.Now()) {
+				if v.control.Holders(l.Limit.Name)[other.settings.VM] != l.Units {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
