--- a/core/fleet/evict.go
+++ b/core/fleet/evict.go
@@ -15,15 +15,15 @@
 
 const (
 	// suspectAfter is the silence after which a member's lease row is watched.
-	suspectAfter = time.Second
+	suspectAfter = 600 * time.Millisecond
 	// evictorsAtOnce live members watch a silent member at the same time, the
 	// next ones evictorStep later.
 	evictorsAtOnce = 2
-	evictorStep    = 2 * time.Second
+	evictorStep    = time.Second
 	// watchInterval is the time between reads of the lease rows of candidates.
-	watchInterval = time.Second
+	watchInterval = 500 * time.Millisecond
 	// askInterval is the time between requests for votes.
-	askInterval = 500 * time.Millisecond
+	askInterval = 250 * time.Millisecond
 	// tableFresh is the age of the last read of the fleet row up to which
 	// votes are asked for. Votes that cannot lead to an eviction because the
 	// store is down would only deprive a returning member of its lease.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -64,7 +64,7 @@
 	s := startAll(t, 3, threeRegions())
 	epoch := s.fleet().GetEpoch()
 	s.nodes["c00"].pause()
-	s.run(2500 * time.Millisecond)
+	s.run(lease.Duration * 5 / 6)
 	s.nodes["c00"].resume()
 	s.run(5 * time.Second)
 	require.Equal(t, epoch, s.fleet().GetEpoch())
@@ -333,7 +333,7 @@
 	require.Equal(t, BasisMembers, n.m.Snapshot(n.local()).Basis)
 	s.cut = func(from, to string) bool { return from == "b00" || to == "b00" || from[0] != to[0] }
 	s.cutTable = func(vm string) bool { return vm != "a00" }
-	s.run(4 * time.Second)
+	s.run(lease.Duration * 4 / 3)
 	snapshot := n.m.Snapshot(n.local())
 	require.Equal(t, BasisTable, snapshot.Basis)
 	require.Equal(t, StateMember, snapshot.State)
@@ -365,7 +365,7 @@
 		acked[lease.IDOf(m)] = next.GetEpoch()
 	}
 	require.True(t, c.settle(simEpoch.Add(14*time.Second), acked))
-	sets, _ = c.evictionSets(simEpoch.Add(17 * time.Second))
+	sets, _ = c.evictionSets(simEpoch.Add(14*time.Second + lease.Duration))
 	require.False(t, quorateInAll(sets, votes), "a lease of the old epoch may be left")
 	sets, _ = c.evictionSets(simEpoch.Add(14*time.Second + lease.Promise))
 	require.True(t, quorateInAll(sets, votes))
@@ -376,7 +376,7 @@
 	var c chain
 	c.learn(simEpoch, &peerv1.Fleet{Epoch: 3})
 	c.learn(simEpoch.Add(time.Second), &peerv1.Fleet{Epoch: 7})
-	_, known := c.evictionSets(simEpoch.Add(4 * time.Second))
+	_, known := c.evictionSets(simEpoch.Add(time.Second + lease.Duration))
 	require.False(t, known)
 	_, known = c.evictionSets(simEpoch.Add(time.Second + lease.Promise))
 	require.True(t, known)
--- a/core/fleet/receive.go
+++ b/core/fleet/receive.go
@@ -9,7 +9,7 @@
 
 // announceAfter is the time for which only the writer of an epoch announces it
 // to members whose heartbeats carry an earlier one.
-const announceAfter = 700 * time.Millisecond
+const announceAfter = 400 * time.Millisecond
 
 // Receive handles a message from a peer. Messages of other packages are
 // ignored.
--- a/core/fleet/table.go
+++ b/core/fleet/table.go
@@ -18,14 +18,14 @@
 	// result of the earlier one is outstanding.
 	opPatience = 2 * time.Second
 	// retryInterval is the least time between table calls of one kind.
-	retryInterval = 500 * time.Millisecond
+	retryInterval = 250 * time.Millisecond
 	// touchPerMember times the number of members is the mean time between
 	// writes of one VM to the touch row: the fleet writes it every 2 s.
 	touchPerMember = 2 * time.Second
 	// renewBelow is the remaining lease by member grants at which the lease
-	// row is renewed. A heartbeat round leaves at least 2.3 s; below 1.8 s,
-	// one was lost, and 1.8 s suffice for a read and a write of the table.
-	renewBelow = 1800 * time.Millisecond
+	// row is renewed. A heartbeat round leaves at least 1.1 s; below 0.9 s,
+	// one was lost, and 0.9 s suffice for a read and a write of the table.
+	renewBelow = 900 * time.Millisecond
 	// renewGrace is the time after a VM's first entry in which member grants
 	// are awaited.
 	renewGrace = 500 * time.Millisecond
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -17,14 +17,18 @@
 // Periods of the lease protocol.
 const (
 	// HeartbeatInterval is the time between heartbeats to one member.
-	HeartbeatInterval = 500 * time.Millisecond
+	HeartbeatInterval = 250 * time.Millisecond
 	// Duration is the validity of a grant, counted on the holder's clock from
 	// the time at which the holder sent the heartbeat.
-	Duration = 3 * time.Second
+	//
+	// It bounds how long the units of a killed VM are missing. With 3 s, a client
+	// account whose callers all used the killed VM was refused for 4.3 s. Six
+	// heartbeats fit into it.
+	Duration = 1500 * time.Millisecond
 	// Promise is the time, on the granter's clock, in which a granter does not
 	// vote for the holder's eviction. It exceeds Duration by 10%, so clocks
 	// whose rates differ by less than that cannot make a grant outlive it.
-	Promise = 3300 * time.Millisecond
+	Promise = 1650 * time.Millisecond
 	// TableContactLimit ends every lease at this age of the last write of any
 	// known member to the table's touch row.
 	TableContactLimit = 20 * time.Minute
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -36,7 +36,7 @@
 	// hintDelay is the time after a heartbeat at which the hints of the next
 	// one are made, a little before it is due. Hints made more often would be
 	// taken as told to the peers without having been sent.
-	hintDelay = 400 * time.Millisecond
+	hintDelay = 150 * time.Millisecond
 )
 
 // Streams of the random numbers of an incarnation. The machines are used under
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -12,9 +12,9 @@
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 )
 
-// silentAfter is the time without a heartbeat, three intervals, after which a
+// silentAfter is the time without a heartbeat, four intervals, after which a
 // member is no longer given to callers as healthy.
-const silentAfter = 1500 * time.Millisecond
+const silentAfter = time.Second
 
 // LeaseValid reports whether this VM may admit requests at the given time. It
 // uses the monotonic clock, so that a process that was paused past its lease
