--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -177,7 +177,7 @@
 		c.info.Hints = mergeHints(c.info.Hints, c.quota.Hints(now))
 		c.quotaMu.Unlock()
 	}
-	c.info.ConfigVersion = c.store.Version()
+	c.info.ConfigVersion = c.policy.Load().Version
 	c.fleet.SetInfo(c.info)
 }
 
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -93,6 +93,13 @@
 	return nil
 }
 
+// Size returns the number of members of the fleet, at least 1.
+func (c *Control) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(1, len(c.members))
+}
+
 // SetLeaving marks this VM as leaving in heartbeats.
 func (c *Control) SetLeaving() {
 	c.mu.Lock()
--- a/entry/forward/bookings.go
+++ b/entry/forward/bookings.go
@@ -22,6 +22,9 @@
 	recordTimeout = time.Second
 	// objectTimeout bounds one call for a stored outcome.
 	objectTimeout = 2 * time.Second
+	// tableWritesPerSecond is the part of the table's several hundred writes
+	// per second that the records of the whole fleet may use.
+	tableWritesPerSecond = 300
 )
 
 // Bookings keeps the at-most-once records of the requests with an
@@ -30,17 +33,26 @@
 	ctx     context.Context
 	table   platform.Table
 	objects platform.Objects
-	self    func() *peerv1.Member
+	fleet   Fleet
 	log     logr.Logger
 	pending atomic.Int64
 
 	mu      sync.Mutex
 	batcher once.Batcher[chan<- tableop.Result]
+	pacer   once.Pacer
+}
+
+// Fleet tells what at-most-once records need to know of the fleet.
+type Fleet interface {
+	// Self returns this VM's current incarnation.
+	Self() *peerv1.Member
+	// Size returns the number of entry VMs, at least 1.
+	Size() int
 }
 
 // NewBookings returns a Bookings whose background writes end with ctx.
-func NewBookings(ctx context.Context, table platform.Table, objects platform.Objects, self func() *peerv1.Member, log logr.Logger) *Bookings {
-	return &Bookings{ctx: ctx, table: table, objects: objects, self: self, log: log}
+func NewBookings(ctx context.Context, table platform.Table, objects platform.Objects, fleet Fleet, log logr.Logger) *Bookings {
+	return &Bookings{ctx: ctx, table: table, objects: objects, fleet: fleet, log: log}
 }
 
 // Pending returns the number of attempts that still have something to do, such
@@ -62,6 +74,7 @@
 func (b *Bookings) send(ops []tableop.Op) {
 	for _, op := range ops {
 		go func() {
+			b.pace()
 			result := b.run(op)
 			b.mu.Lock()
 			results, next := b.batcher.Result(result)
@@ -72,6 +85,16 @@
 	}
 }
 
+// pace keeps the transactions of all VMs within the table's rate.
+func (b *Bookings) pace() {
+	b.mu.Lock()
+	wait := b.pacer.Wait(time.Now(), b.fleet.Size(), tableWritesPerSecond)
+	b.mu.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
 func deliver(results []once.Written[chan<- tableop.Result]) {
 	for _, r := range results {
 		r.Writer <- r.Result
@@ -96,7 +119,7 @@
 
 // start begins an attempt. The response follows on the channel, once.
 func (b *Bookings) start(c *call, fingerprint string, dispatch func(func(time.Time) bool) once.Outcome) *keyedAttempt {
-	self := b.self()
+	self := b.fleet.Self()
 	a := &keyedAttempt{
 		bookings: b, dispatch: dispatch, response: make(chan *once.Response, 1),
 		attempt: once.NewAttempt(once.Config{}, once.Params{
--- a/entry/forward/fakes_test.go
+++ b/entry/forward/fakes_test.go
@@ -63,6 +63,11 @@
 	return quota.Decision{OK: true}
 }
 
+type fakeFleet struct{}
+
+func (fakeFleet) Self() *peerv1.Member { return &peerv1.Member{Vm: "vm1", Incarnation: 1} }
+func (fakeFleet) Size() int            { return 1 }
+
 // fakeRegions has one region with a quota limit.
 type fakeRegions struct{}
 
@@ -126,7 +131,7 @@
 	t.Cleanup(cancel)
 	f.handler = New(Config{MaxBodyBytes: 1 << 20}, Deps{
 		Control: f.control, Regions: fakeRegions{}, Services: fakeServices{svc},
-		Bookings: NewBookings(ctx, f.table, f.objects, func() *peerv1.Member { return &peerv1.Member{Vm: "vm1", Incarnation: 1} }, logr.Discard()),
+		Bookings: NewBookings(ctx, f.table, f.objects, fakeFleet{}, logr.Discard()),
 		Metrics:  telemetry.New(time.Now()), Log: logr.Discard(),
 	})
 	f.server = httptest.NewServer(f.handler)
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -87,7 +87,7 @@
 	s.locator = locate.New(s.control, settings.LookupValidityMS)
 	s.handler = forward.New(forward.Config{MaxBodyBytes: settings.MaxBodyBytes}, forward.Deps{
 		Control: s.control, Regions: s.regions, Services: s.services,
-		Bookings: forward.NewBookings(ctx, p.Table, p.Objects, s.control.Self, log),
+		Bookings: forward.NewBookings(ctx, p.Table, p.Objects, s.control, log),
 		Metrics:  s.metrics, Log: log,
 	})
 	s.control.OnPolicy(func(p *policy.Policy) { s.configure(p, len(s.control.Peers())) })
--- a/entry/server/stop.go
+++ b/entry/server/stop.go
@@ -47,7 +47,8 @@
 	for {
 		now := time.Now()
 		out := machine.Step(now, shutdown.Input{
-			InFlight: int(s.handler.InFlight() + s.handler.PendingBookings()), Units: s.control.UnitsHeld(now), LeftFleet: s.control.Left(),
+			InFlight: int(s.handler.InFlight()), Background: int(s.handler.PendingBookings()),
+			Units: s.control.UnitsHeld(now), LeftFleet: s.control.Left(),
 		})
 		s.stopping.set(out.Phase)
 		if out.Exit {
