standin: a second demonstration with faults of the platform, VMs and connections

Cause: the demonstration kills and stops VMs, but no run with real processes paused a VM, lost table answers, took the table away or silenced connections.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STATICCHECK_VERSION := v0.8.2
 export CGO_ENABLED := 1
 
-.PHONY: build test lint model measure capacity overhead demo generate tools
+.PHONY: build test lint model measure capacity overhead demo faults generate tools
 
 build:
 	go build -ldflags "-X main.version=$(VERSION)" -o bin/cassiawind ./cassiawind
@@ -26,6 +26,9 @@
 model:
 	bash spec/run
 
+faults: build
+	bash standin/demo/faults
+
 measure:
 	go run ./measure/cmd/measure
 
