core/lease: the table's weight is that of a tie-breaker

Cause: with weight floor(n/2) the failure of the region that holds the table, with 4 of 11 VMs, left the other 7 without a quorum of 9: all requests were rejected for as long as the region was gone. Change: weight 1 for an even number of members, 2 for an odd one, 0 for a sole member. A split of three regions now leaves no side with a quorum, where before the side of the table went on.

--- a/core/lease/voters.go
+++ b/core/lease/voters.go
@@ -5,7 +5,7 @@
 )
 
 // Voters is the voter set of one epoch: each member has weight 1, the table
-// has weight floor(n/2) for n members.
+// has the weight of TableWeight.
 type Voters struct {
 	members map[ID]struct{}
 }
@@ -50,8 +50,23 @@
 	return c
 }
 
-// TableWeight returns the weight of the table.
-func (v Voters) TableWeight() int { return len(v.members) / 2 }
+// TableWeight returns the weight of the table: 1 for an even number of members,
+// 2 for an odd one, and 0 for a sole member.
+//
+// The table breaks ties; a larger weight would make it indispensable. With
+// weight floor(n/2), the failure of the region that also holds the table left 7
+// of 11 VMs without a quorum of 9. With this weight 7 of 11 and 6 of 10 are a
+// quorum without the table, and 5 of 11, 5 of 10 and 2 of 4 are one with it.
+func (v Voters) TableWeight() int {
+	switch n := len(v.members); {
+	case n < 2:
+		return 0
+	case n%2 == 0:
+		return 1
+	default:
+		return 2
+	}
+}
 
 // Total returns the weight of all voters.
 func (v Voters) Total() int { return len(v.members) + v.TableWeight() }
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -3,7 +3,8 @@
  *
  * Property: once member 0 has been evicted from the fleet row, it holds no
  * lease. Epoch 1 has member 0, epochs 2 and 3 add members 1 and 2; member 0 can
- * be evicted from epoch 2 or 3. The table has weight floor(n/2).
+ * be evicted from epoch 2 or 3. The table has weight 0, 1 and 2
+ * in epochs of 1, 2 and 3 members.
  *
  * Time is discrete. A grant lasts DURATION ticks of member 0's clock from the
  * sending of the heartbeat; a voter keeps its promise for PROMISE ticks. Member
@@ -56,7 +57,7 @@
 byte i, r, weight;
 
 /* Epoch e has the members 0 to e-1. */
-#define TABLE_WEIGHT(e) ((e) / 2)
+#define TABLE_WEIGHT(e) ((e) - 1)
 #ifdef QUORUM_WITHOUT_TABLE_WEIGHT
 #define QUORUM(e) ((e) / 2 + 1)
 #else
