core/quota: bound the requests in place of refusals; test of measure

With 64 VMs a limit with homes cost 25 messages for each VM and second, because each refusal led to requests to further peers.

--- a/core/quota/asking.go
+++ b/core/quota/asking.go
@@ -30,6 +30,9 @@
 	ownHorizon = 60 * time.Millisecond
 	// cycleInterval is the least time between cycles with answers outstanding.
 	cycleInterval = 10 * time.Millisecond
+	// maxReplaced bounds the refusals in one cycle after which another peer is
+	// asked at once.
+	maxReplaced = 3
 	// maxAsked bounds the peers asked in one cycle.
 	maxAsked = 16
 	// demandMargin is how much more than the demand a VM wants to hold.
@@ -55,6 +58,7 @@
 	// replacing is set while another peer is asked in place of one that could
 	// give nothing.
 	replacing bool
+	replaced  int       // such requests since the cycle began
 	pulledAt  time.Time // last request for the demand alone
 	pausedTo  time.Time
 	pause     time.Duration
@@ -185,7 +189,7 @@
 		return nil
 	}
 	if !s.asking.open(now) {
-		s.asking.answers, s.asking.tokens = 0, 0
+		s.asking.answers, s.asking.tokens, s.asking.replaced = 0, 0, 0
 	}
 	if tokens == 0 {
 		s.asking.pulledAt = now
--- a/core/quota/transfer.go
+++ b/core/quota/transfer.go
@@ -140,10 +140,11 @@
 			h.deniedAt = now
 		}
 		s.refill(now)
-		if s.small {
+		if s.small && s.asking.replaced < maxReplaced {
 			// Another peer is asked at once: with few holders of whole tokens,
 			// waiting for the slowest answer would use up MaxWait.
 			s.asking.tokens, s.asking.at, s.asking.replacing = 0, time.Time{}, true
+			s.asking.replaced++
 			sends := m.askForWaiting(now, s)
 			s.asking.replacing = false
 			return sends
--- a/measure/quotasim/experiments.go
+++ b/measure/quotasim/experiments.go
@@ -1,6 +1,7 @@
 package quotasim
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/quota"
@@ -27,6 +28,22 @@
 	percent       = 100
 )
 
+// Names of experiments.
+const (
+	nameFormat        = "quota-%s-%s"
+	calmName          = "calm"
+	tightName         = "tight"
+	oneVMName         = "one-vm"
+	movingName        = "moving"
+	suddenName        = "sudden"
+	lossyName         = "lossy"
+	neighbourName     = "neighbour"
+	storeDownName     = "store-down"
+	storeDownKillName = "store-down-kill"
+	killName          = "kill"
+	killOneVMName     = "kill-one-vm"
+)
+
 // Names of figures and units.
 const (
 	wrongfulName  = "wrongful refusals"
@@ -121,22 +138,22 @@
 // Experiments returns the experiments of the quota.
 func Experiments() []measure.Experiment {
 	all := []scenario{
-		{name: "calm", time: time.Minute, target: calmTarget, set: func(*world) {}},
-		{name: "tight", time: time.Minute, target: calmTarget, set: (*world).tight, more: (*world).worst},
-		{name: "one-vm", time: time.Minute, target: calmTarget, set: (*world).onOneVM},
-		{name: "moving", time: time.Minute, target: calmTarget, set: (*world).moving},
-		{name: "sudden", time: time.Minute, target: calmTarget, set: (*world).sudden},
-		{name: "lossy", time: time.Minute, target: faultTarget, set: func(w *world) { w.loss = 0.01 }},
-		{name: "neighbour", time: time.Minute, target: calmTarget, set: func(w *world) { w.accounts[0].load = neighbourLoad }, more: (*world).worst},
-		killed("kill", func(*world) {}),
-		killed("kill-one-vm", (*world).onOneVM),
-		{name: "store-down", time: storeDown, target: faultTarget, set: func(*world) {}},
-		{name: "store-down-kill", time: storeDown, target: faultTarget, set: func(w *world) { w.kill(warmUp+time.Minute, 4, 0) }},
+		{name: calmName, time: time.Minute, target: calmTarget, set: func(*world) {}},
+		{name: tightName, time: time.Minute, target: calmTarget, set: (*world).tight, more: (*world).worst},
+		{name: oneVMName, time: time.Minute, target: calmTarget, set: (*world).onOneVM},
+		{name: movingName, time: time.Minute, target: calmTarget, set: (*world).moving},
+		{name: suddenName, time: time.Minute, target: calmTarget, set: (*world).sudden},
+		{name: lossyName, time: time.Minute, target: faultTarget, set: func(w *world) { w.loss = 0.01 }},
+		{name: neighbourName, time: time.Minute, target: calmTarget, set: func(w *world) { w.accounts[0].load = neighbourLoad }, more: (*world).worst},
+		killed(killName, func(*world) {}),
+		killed(killOneVMName, (*world).onOneVM),
+		{name: storeDownName, time: storeDown, target: faultTarget, set: func(*world) {}},
+		{name: storeDownKillName, time: storeDown, target: faultTarget, set: func(w *world) { w.kill(warmUp+time.Minute, 4, 0) }},
 	}
 	var out []measure.Experiment
 	for _, d := range deployments {
 		for _, s := range all {
-			out = append(out, measure.Experiment{Name: "quota-" + s.name + "-" + d.name, Seeds: seeds, Run: func(seed uint64) []measure.Figure {
+			out = append(out, measure.Experiment{Name: fmt.Sprintf(nameFormat, s.name, d.name), Seeds: seeds, Run: func(seed uint64) []measure.Figure {
 				w := build(d, seed)
 				s.set(w)
 				w.measureFor(s.time)
--- a/measure/report.go
+++ b/measure/report.go
@@ -25,6 +25,9 @@
 	ownName      = "measured"
 	baselineName = "baseline"
 	tableHeader  = "experiment\tfigure\tseeds\tworst\tunit\ttarget\tmet\tbaseline"
+	targetFormat = "%s %g"
+	valueFormat  = "%.5g"
+	rowFormat    = "%s\t%s\t%d\t%.5g\t%s\t%s\t%s\t%s\n"
 	absent       = "-"
 	missed       = "MISSED"
 	kept         = "met"
@@ -79,15 +82,15 @@
 		f := g.worst
 		target, met, baseline := absent, absent, absent
 		if f.Target != nil {
-			target, met = fmt.Sprintf("%s %g", f.Compare, *f.Target), missed
+			target, met = fmt.Sprintf(targetFormat, f.Compare, *f.Target), missed
 			if *f.Met {
 				met = kept
 			}
 		}
 		if f.Baseline != nil {
-			baseline = fmt.Sprintf("%.5g", *f.Baseline)
+			baseline = fmt.Sprintf(valueFormat, *f.Baseline)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.5g\t%s\t%s\t%s\t%s\n", f.Experiment, f.Figure, len(g.figures), f.Value, f.Unit, target, met, baseline)
+		fmt.Fprintf(t, rowFormat, f.Experiment, f.Figure, len(g.figures), f.Value, f.Unit, target, met, baseline)
 	}
 	return errors.WithStack(t.Flush())
 }
--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -6,6 +6,8 @@
  * Two VMs, two units, three epochs and two faults: 670,393 states. Three VMs do
  * not end within a minute.
  *
+ * A round within an epoch is here an epoch without an eviction.
+ *
  * Property: the units of the VMs that may serve never exceed TOTAL, counting
  * what they hold. A unit in flight is covered, since its delivery is checked.
  */
