entry/forward: waiting requests retry when their tokens are earned

Cause: a waiting request called Take again at each wake-up, which counted its demand several times, and was refused when only its own VM's units could have served it within the wait.

--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"math"
 	"time"
 
@@ -37,6 +36,17 @@
 	return d
 }
 
+// Retry is Take for a request that waits, see quota.Manager.
+func (c *Control) Retry(now time.Time, limit string, n float64) quota.Decision {
+	c.quotaMu.Lock()
+	d := c.quota.Retry(now, limit, n)
+	c.quotaMu.Unlock()
+	if len(d.Sends) > 0 {
+		c.sender.Send(d.Sends)
+	}
+	return d
+}
+
 // Refund returns the tokens of a request that was not run.
 func (c *Control) Refund(now time.Time, limit string, n float64) {
 	c.quotaMu.Lock()
@@ -57,21 +67,6 @@
 	c.arrived = make(chan struct{})
 }
 
-// WaitUnits waits until units may have arrived, the deadline, or the end of
-// the caller's context. It returns false if it is no use to try again.
-func (c *Control) WaitUnits(ctx context.Context, arrived <-chan struct{}, deadline time.Time) bool {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case <-arrived:
-		return true
-	case <-timer.C:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Self implements peers.Directory.
 func (c *Control) Self() *peerv1.Member { return c.self.Load() }
 
--- a/entry/forward/fakes_test.go
+++ b/entry/forward/fakes_test.go
@@ -51,7 +51,9 @@
 }
 func (f *fakeControl) Refund(_ time.Time, l string, n float64) { f.set(l, f.left(l)+n) }
 
-func (f *fakeControl) WaitUnits(context.Context, <-chan struct{}, time.Time) bool { return false }
+func (f *fakeControl) Retry(now time.Time, limit string, n float64) quota.Decision {
+	return f.Take(now, limit, n)
+}
 
 func (f *fakeControl) Take(_ time.Time, limit string, n float64) quota.Decision {
 	f.mu.Lock()
--- a/entry/forward/handler.go
+++ b/entry/forward/handler.go
@@ -27,9 +27,10 @@
 	Policy() *policy.Policy
 	LeaseValid(now time.Time) bool
 	Take(now time.Time, limit string, n float64) quota.Decision
+	// Retry is Take for a request that has called it before and waits.
+	Retry(now time.Time, limit string, n float64) quota.Decision
 	Refund(now time.Time, limit string, n float64)
 	Arrived() <-chan struct{}
-	WaitUnits(ctx context.Context, arrived <-chan struct{}, deadline time.Time) bool
 }
 
 // Regions chooses the region of a request.
--- a/entry/forward/limits.go
+++ b/entry/forward/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/core/routing"
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
@@ -27,43 +28,70 @@
 		}
 		return nil
 	}
-	var retryAfter time.Duration
-	take := func(now time.Time) (ok, wait bool) {
-		d := h.control.Take(now, c.account.Limit, 1)
-		retryAfter = d.RetryAfter
-		return d.OK, d.Wait
+	var last quota.Decision
+	take := func(now time.Time, ask askFunc) quota.Decision {
+		last = ask(now, c.account.Limit, 1)
+		return last
 	}
 	if rej := h.takeOrWait(ctx, c, take); rej != nil {
 		if rej.Code == problem.CodeRateExceeded {
-			return rej.After(max(retryAfter, time.Second))
+			return rej.After(max(last.RetryAfter, time.Second))
 		}
 		return rej
 	}
 	return nil
 }
 
+// askFunc is Control.Take, or Control.Retry for a request that waits.
+type askFunc func(now time.Time, limit string, n float64) quota.Decision
+
 // takeOrWait calls take until it admits, waiting for units of peers between
 // calls if that is worthwhile. The lease is checked at each call, since
 // admissions count only under a valid lease.
-func (h *Handler) takeOrWait(ctx context.Context, c *call, take func(now time.Time) (ok, wait bool)) *problem.Rejection {
+func (h *Handler) takeOrWait(ctx context.Context, c *call, take func(now time.Time, ask askFunc) quota.Decision) *problem.Rejection {
 	giveUp := time.Now().Add(maxUnitsWait)
 	if c.deadline.Before(giveUp) {
 		giveUp = c.deadline
 	}
+	ask := askFunc(h.control.Take)
 	for {
 		arrived := h.control.Arrived()
 		now := time.Now()
 		if !h.control.LeaseValid(now) {
 			return leaseExpired()
 		}
-		ok, wait := take(now)
-		if ok {
+		d := take(now, ask)
+		if d.OK {
 			return nil
 		}
-		if !wait || !h.control.WaitUnits(ctx, arrived, giveUp) {
+		if !d.Wait || !now.Before(giveUp) || !waitUnits(ctx, arrived, nextTry(now, d, giveUp)) {
 			return problem.New(problem.CodeRateExceeded, http.StatusTooManyRequests, "the client account's rate and burst are used up")
 		}
+		ask = h.control.Retry
+	}
+}
+
+// waitUnits waits until units may have arrived or the next try is due. It
+// returns false if the caller is gone.
+func waitUnits(ctx context.Context, arrived <-chan struct{}, next time.Time) bool {
+	timer := time.NewTimer(time.Until(next))
+	defer timer.Stop()
+	select {
+	case <-arrived:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// nextTry is the time at which the VM's own units have earned the tokens, or
+// the time at which the request gives up.
+func nextTry(now time.Time, d quota.Decision, giveUp time.Time) time.Time {
+	if earned := now.Add(d.WaitFor); d.WaitFor > 0 && earned.Before(giveUp) {
+		return earned
 	}
+	return giveUp
 }
 
 // chooseRegion admits the request against a region cap and a link limit. It
@@ -72,13 +100,16 @@
 	var taken []string
 	var lastErr error
 	clientRegion := h.control.Policy().RegionOf(c.r.RemoteAddr)
-	try := func(now time.Time) (ok, wait bool) {
+	try := func(now time.Time, ask askFunc) quota.Decision {
+		var result quota.Decision
 		taken = taken[:0]
 		take := func(limit string) bool {
-			d := h.control.Take(now, limit, 1)
-			wait = wait || d.Wait
+			d := ask(now, limit, 1)
 			if d.OK {
 				taken = append(taken, limit)
+			} else if d.Wait {
+				result.Wait = true
+				result.WaitFor = max(result.WaitFor, d.WaitFor)
 			}
 			return d.OK
 		}
@@ -88,7 +119,8 @@
 		}
 		choice, err := h.regions.Choose(now, clientRegion, c.service, take, refund)
 		c.region, lastErr = choice.Region, err
-		return err == nil, wait
+		result.OK = err == nil
+		return result
 	}
 	rej := h.takeOrWait(ctx, c, try)
 	if rej == nil || rej.Code != problem.CodeRateExceeded {
