entry: configuration updates travel apart; told demand of gone VMs is dropped

A configuration sent as an answer to an answer shared a batch and its time-out of 1 s with heartbeats. It now has an exchange of its own with 10 s, as requests for one have. The demand told by VMs that are no longer members is dropped with their other state. go test -race ./entry/peers ./entry/control passes.

--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -352,6 +352,7 @@
 	}
 	maps.DeleteFunc(c.leavingPeers, func(vm string, _ bool) bool { return c.members[vm] == nil })
 	maps.DeleteFunc(c.peerVersions, func(vm string, _ uint64) bool { return c.members[vm] == nil })
+	maps.DeleteFunc(c.peerDemand, func(vm string, _ map[string]uint32) bool { return c.members[vm] == nil })
 }
 
 // setSeeds tells the liveness tracking which VMs to look for: the members and
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -22,8 +22,8 @@
 	// callTimeout bounds one exchange. It is below the lease of 3 s, so that a
 	// connection that went silent costs at most one heartbeat round.
 	callTimeout = time.Second
-	// configTimeout bounds an exchange that asks for the configuration. A full
-	// one is tens of megabytes.
+	// configTimeout bounds an exchange with a configuration, which is tens of
+	// megabytes if it is a full one.
 	configTimeout = 10 * time.Second
 	// probeAfter and probeTimeout find a connection that went silent while no
 	// exchange is open, and writeTimeout one that takes no more bytes.
@@ -280,12 +280,14 @@
 	}
 }
 
-// splitConfig separates the messages that are answered with a configuration.
+// splitConfig separates the messages that carry a configuration or are answered
+// with one, which must not delay the others.
 func splitConfig(messages []*peerv1.Message) (config, others []*peerv1.Message) {
 	for _, m := range messages {
-		if _, ok := m.Kind.(*peerv1.Message_ConfigRequest); ok {
+		switch m.Kind.(type) {
+		case *peerv1.Message_ConfigRequest, *peerv1.Message_ConfigUpdate:
 			config = append(config, m)
-		} else {
+		default:
 			others = append(others, m)
 		}
 	}
