entry/forward: typed rejection of large headers; ambiguous framing

Cause: an oversized header got the HTTP library's plain answer, and nothing tested framing that two readers could understand differently. Change: header fields above the bound are rejected with header_too_large; a test sends four ambiguous framings. Measured: one answer for each connection, and the hidden request never reached the backend server.

--- a/entry/forward/fakes_test.go
+++ b/entry/forward/fakes_test.go
@@ -131,7 +131,7 @@
 	svc.Configure(time.Now(), p, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	f.handler = New(Config{MaxBodyBytes: 1 << 20}, Deps{
+	f.handler = New(Config{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10}, Deps{
 		Control: f.control, Regions: fakeRegions{}, Services: fakeServices{svc},
 		Bookings: NewBookings(ctx, f.table, f.objects, fakeFleet{}, logr.Discard()),
 		Metrics:  telemetry.New(time.Now()), Log: logr.Discard(),
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -87,6 +87,7 @@
 		{"upgrade", "GET", "/lots/1", "", []string{"Upgrade", "websocket"}, problem.CodeUpgradeRefused},
 		{"negative deadline", "GET", "/lots/1", "", []string{"Cassiawind-Timeout-Ms", "-1"}, problem.CodeDeadlineInvalid},
 		{"absurd deadline", "GET", "/lots/1", "", []string{"Cassiawind-Timeout-Ms", "99999999999"}, problem.CodeDeadlineInvalid},
+		{"large header", "GET", "/lots/1", "", []string{"X-Large", strings.Repeat("x", 40<<10)}, problem.CodeHeaderTooLarge},
 		{"large body", "POST", "/lots/1", strings.Repeat("x", 2<<20), nil, problem.CodeBodyTooLarge},
 		{"large keyed booking", "POST", "/book/1", strings.Repeat("x", 300<<10), []string{"Idempotency-Key", "a"}, problem.CodeBodyTooLarge},
 		{"long idempotency key", "POST", "/book/1", "x", []string{"Idempotency-Key", strings.Repeat("k", 300)}, problem.CodeIdempotencyKey},
@@ -102,6 +103,41 @@
 	assert.Equal(t, 100.0, f.control.left(quota.AccountLimit("acme")), "a rejected request must not use up the account's rate")
 }
 
+// Guards against request framing that caller and entry VM could read
+// differently: the backend server gets at most the one request that the entry VM
+// has read, framed anew.
+func TestAmbiguousFraming(t *testing.T) {
+	var paths []string
+	var mu sync.Mutex
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		paths = append(paths, r.URL.Path)
+	})
+	auth := "Authorization: Bearer " + testKey + "\r\nHost: x\r\nConnection: close\r\n"
+	hidden := "GET /book/hidden HTTP/1.1\r\n" + auth + "\r\n"
+	for name, text := range map[string]string{
+		"two lengths":        "POST /lots/1 HTTP/1.1\r\n" + auth + "Content-Length: 0\r\nContent-Length: 9\r\n\r\n" + hidden,
+		"length and chunked": "POST /lots/1 HTTP/1.1\r\n" + auth + "Content-Length: 200\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"chunked twice":      "POST /lots/1 HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" + hidden,
+		"space before colon": "POST /lots/1 HTTP/1.1\r\n" + auth + "Content-Length : 9\r\n\r\n" + hidden,
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, text)
+			require.NoError(t, err)
+			answer, err := io.ReadAll(conn)
+			require.NoError(t, err)
+			assert.Equal(t, 1, strings.Count(string(answer), "HTTP/1.1 "))
+		})
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.NotContains(t, paths, "/book/hidden")
+}
+
 // Guards against one of two keys being chosen silently.
 func TestTwoKeys(t *testing.T) {
 	f := newFixture(t, ok)
--- a/entry/forward/handler.go
+++ b/entry/forward/handler.go
@@ -51,6 +51,8 @@
 type Config struct {
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the header fields of a request.
+	MaxHeaderBytes int
 }
 
 // Handler serves the requests of callers. Use New.
--- a/entry/forward/intake.go
+++ b/entry/forward/intake.go
@@ -33,6 +33,9 @@
 	if rej := checkForm(c.r); rej != nil {
 		return rej
 	}
+	if headerBytes(c.r.Header) > h.config.MaxHeaderBytes {
+		return problem.New(problem.CodeHeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the header fields are too large")
+	}
 	p := h.control.Policy()
 	if p.Version == 0 {
 		return problem.New(problem.CodeLeaseExpired, http.StatusServiceUnavailable, "no configuration yet").After(time.Second)
@@ -68,6 +71,20 @@
 	return nil
 }
 
+// fieldOverhead is the size of ": " and the line end of a header field.
+const fieldOverhead = 4
+
+// headerBytes returns the size of header fields as HTTP/1.1 sends them.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, value := range values {
+			n += len(name) + len(value) + fieldOverhead
+		}
+	}
+	return n
+}
+
 // hasDotSegment finds "." and ".." segments. They are rejected and not
 // resolved, since a backend server may resolve them differently and so answer
 // for another route.
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -30,6 +30,9 @@
 const (
 	// headTimeout bounds the time in which a caller sends a request's head.
 	headTimeout = 10 * time.Second
+	// headerFactor times the bound of the settings is the bound of the HTTP
+	// library, which rejects without a problem document.
+	headerFactor = 2
 	// idleTimeout closes callers' connections that were idle this long.
 	idleTimeout = 2 * time.Minute
 	// watchInterval is the time between updates that follow the fleet.
@@ -85,7 +88,7 @@
 		regions:  newRegions(settings.Region),
 	}
 	s.locator = locate.New(s.control, settings.LookupValidityMS)
-	s.handler = forward.New(forward.Config{MaxBodyBytes: settings.MaxBodyBytes}, forward.Deps{
+	s.handler = forward.New(forward.Config{MaxBodyBytes: settings.MaxBodyBytes, MaxHeaderBytes: settings.MaxHeaderBytes}, forward.Deps{
 		Control: s.control, Regions: s.regions, Services: s.services,
 		Bookings: forward.NewBookings(ctx, p.Table, p.Objects, s.control, log),
 		Metrics:  s.metrics, Log: log,
@@ -181,7 +184,7 @@
 	srv := &http.Server{
 		Addr: s.settings.CallerAddress, Protocols: plainProtocols(),
 		Handler:           s.callerHandler(lookups),
-		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.settings.MaxHeaderBytes,
+		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerFactor * s.settings.MaxHeaderBytes,
 	}
 	if s.settings.TLSCertificateFile == "" {
 		return srv, nil
