measure/quotasim: epochs follow a kill after 2 s

Cause: the model assumed 5 s from a kill to the next epoch; with leases of 1.5 s core/fleet takes at most 1.9 s. Change: 2 s, and hints every 300 ms in place of 500 ms.

--- a/measure/quotasim/world.go
+++ b/measure/quotasim/world.go
@@ -15,12 +15,14 @@
 )
 
 const (
-	vms            = 11
-	tickInterval   = 100 * time.Millisecond
-	heartbeatTicks = 5
+	vms          = 11
+	tickInterval = 100 * time.Millisecond
+	// heartbeatTicks is lease.HeartbeatInterval, rounded up to whole ticks.
+	heartbeatTicks = 3
 	vmName         = "vm%02d"
-	// epochDelay is the time from a kill to the epoch without the VM.
-	epochDelay = 5 * time.Second
+	// epochDelay is the time from a kill to the epoch without the VM: core/fleet
+	// evicts one of 11 VMs after at most 1.9 s (TestKilledVMsAreEvicted).
+	epochDelay = 2 * time.Second
 	// warmUp fills the buckets before the figures are taken.
 	warmUp = 5 * time.Second
 )
