measure/capacity: slopes of the cost of control

The command drives the core packages in virtual time with the table and object store in memory, the peer transport and the health polls over loopback, and prints every point and the least-squares line of each series.

--- /dev/null
+++ b/measure/capacity/capacity_test.go
@@ -0,0 +1,116 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func line(points ...[2]float64) []Point {
+	var out []Point
+	for _, p := range points {
+		out = append(out, Point{Series: leaseBytes, Size: p[0], Value: p[1]})
+	}
+	return out
+}
+
+// Guards against a slope, a base or an extrapolation that does not follow the
+// points.
+func TestSlopeOfALine(t *testing.T) {
+	slopes := Slopes(line([2]float64{4, 13}, [2]float64{11, 34}, [2]float64{64, 193}))
+	require.Len(t, slopes, 1)
+	assert.InDelta(t, 1, slopes[0].Base, 1e-9)
+	assert.InDelta(t, 3, slopes[0].PerUnit, 1e-9)
+	assert.InDelta(t, 12_301, slopes[0].Extrapolate(4100), 1e-6)
+	assert.InDelta(t, 0, slopes[0].WorstResidual, 1e-9)
+}
+
+// Guards against a curve that is extrapolated as a line without a sign of it.
+func TestResidualShowsACurve(t *testing.T) {
+	slopes := Slopes(line([2]float64{10, 100}, [2]float64{20, 400}, [2]float64{40, 1600}))
+	require.Len(t, slopes, 1)
+	assert.Greater(t, slopes[0].WorstResidual, 0.05)
+}
+
+// Guards against a line through points of one size, and against points of
+// different conditions in one line.
+func TestSlopesKeepConditionsApart(t *testing.T) {
+	points := line([2]float64{4, 1}, [2]float64{4, 2})
+	assert.Empty(t, Slopes(points))
+	other := points[1]
+	other.At, other.Size = atLoad, 8
+	assert.Empty(t, Slopes(append(points, other)))
+}
+
+// Guards against heartbeats and acks that are counted at other than one each per
+// member and interval, and against bytes that are not those of the batches.
+func TestHeartbeatsAreCounted(t *testing.T) {
+	r := NewRecorder(io.Discard)
+	require.NoError(t, measureLease(r, []int{4}))
+	values := map[Series]float64{}
+	for _, p := range r.Points() {
+		values[p.Series] = p.Value
+	}
+	// A tick of 100 ms turns the interval of 250 ms into 300 ms.
+	assert.InDelta(t, 3/0.3, values[leaseExchanges], 0.2)
+	assert.InDelta(t, 2*values[leaseExchanges], values[leaseMessages], 0.2)
+	assert.Greater(t, values[leaseFraming], values[leaseBytes])
+	assert.Positive(t, values[unitsBack])
+}
+
+// Guards against bookings that are made with other than a claim and an outcome,
+// and against records that are not batched under load.
+func TestRecordsOfBookings(t *testing.T) {
+	r := NewRecorder(io.Discard)
+	measureRecords(r, []int{11}, []int{10, 1000})
+	for _, p := range r.Points() {
+		switch {
+		case p.Figure == bookingRows.Figure:
+			assert.InDelta(t, 2, p.Value, 0.1)
+		case p.Figure == bookingWrites.Figure && p.Size == 1000:
+			assert.Less(t, p.Value, 0.5)
+		case p.Figure == bookingRate.Figure:
+			assert.LessOrEqual(t, p.Value, 1.05*recordsRate)
+		}
+	}
+}
+
+func smallSizes() Sizes {
+	return Sizes{
+		Members: []int{4, 5}, EpochMembers: []int{4, 11}, Restful: []int{4}, Spreading: []int{4, 8},
+		QuotaMembers: []int{4}, Limits: []int{2, 8}, SpreadVMs: []int{2, 4}, Files: []int{2, 10}, FileBytes: 100,
+		Totals: []int{300, 1000}, ChangedFile: []int{10, 100}, Changed: []int{1, 10}, LocateVMs: []int{4, 128},
+		Hints: []int{0, 8}, Connections: []int{1, 4}, Servers: []int{2, 8}, BookingVMs: []int{4}, BookingRates: []int{10, 100},
+	}
+}
+
+// Guards against a step that fails, a value that cannot be extrapolated, and
+// output that is not one JSON value a line followed by the table.
+func TestRunAtSmallSizes(t *testing.T) {
+	var out bytes.Buffer
+	r := NewRecorder(&out)
+	require.NoError(t, Run(r, smallSizes()))
+	roles := map[string]bool{}
+	for _, p := range r.Points() {
+		roles[p.Role] = true
+		assert.False(t, math.IsNaN(p.Value) || math.IsInf(p.Value, 0), p.Figure)
+	}
+	for _, role := range []string{
+		roleLease, roleQuota, roleMembership, roleTable, roleConfig, roleLookup, roleTransport, roleHealth, roleOnce,
+	} {
+		assert.True(t, roles[role], role)
+	}
+	require.NoError(t, r.Write(&out))
+	lines, table, found := strings.Cut(out.String(), strings.Fields(tableHeader)[0]+" ")
+	require.True(t, found)
+	for l := range strings.Lines(lines) {
+		require.True(t, json.Valid([]byte(l)), l)
+	}
+	assert.Equal(t, len(Slopes(r.Points()))+1, strings.Count(table, "\n"))
+}
--- /dev/null
+++ b/measure/capacity/run.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"time"
+)
+
+// Sizes are the sizes at which Run measures.
+type Sizes struct {
+	Members, EpochMembers, Restful, Spreading []int
+	QuotaMembers, Limits                      []int
+	SpreadVMs, Files                          []int
+	FileBytes                                 int
+	Totals, ChangedFile, Changed              []int
+	LocateVMs                                 []int
+	Hints, Connections, Servers               []int
+	BookingVMs, BookingRates                  []int
+}
+
+// DefaultSizes are those of docs/CAPACITY.md.
+func DefaultSizes() Sizes {
+	return Sizes{
+		Members: []int{4, 11, 16, 64}, EpochMembers: []int{11, 64, 1024, 4100},
+		Restful: []int{11, 32, 64}, Spreading: []int{11, 64, 256, 1024},
+		QuotaMembers: []int{4, 11, 64}, Limits: []int{8, 64, 512},
+		SpreadVMs: []int{4, 11, 64, 128, 256, 1024}, Files: []int{98, 1000, 4000}, FileBytes: 10_000,
+		Totals: []int{100_000, 300_000, 980_000}, ChangedFile: []int{100, 1000, 10_000}, Changed: []int{1, 100, 10_000},
+		LocateVMs: []int{11, 128, 1024, 4100},
+		Hints:     []int{0, 2, 17, 170}, Connections: []int{16, 64, 256}, Servers: []int{42, 120, 400},
+		BookingVMs: []int{11, 64, 1024}, BookingRates: []int{10, 100, 1000},
+	}
+}
+
+const (
+	spreadingWarm = 3 * time.Second
+	spreadingFor  = 4 * time.Second
+	// drainBase and drainPerMember let the news of a common start spread, at 6
+	// updates in a message.
+	drainBase      = time.Minute
+	drainPerMember = 1200 * time.Millisecond
+)
+
+// Run measures all series. The transports come first, because their processor
+// time is that of the whole process.
+func Run(r *Recorder, s Sizes) error {
+	steps := []func() error{
+		func() error { return measureExchange(r, s.Hints) },
+		func() error { return measureConnections(r, s.Connections) },
+		func() error { return measurePolling(r, s.Servers) },
+		func() error { return measureLease(r, s.Members) },
+		func() error { return measureEpochSize(r, s.EpochMembers) },
+		func() error {
+			measureMembership(r, s.Restful, atRest, func(n int) time.Duration {
+				return drainBase + time.Duration(n)*drainPerMember
+			}, measured)
+			measureMembership(r, s.Spreading, atSpread, func(int) time.Duration { return spreadingWarm }, spreadingFor)
+			return nil
+		},
+		func() error { return measureQuota(r, s.QuotaMembers, s.Limits) },
+		func() error { return measureSpread(r, s.SpreadVMs) },
+		func() error { return measureContent(r, s.Files, s.FileBytes) },
+		func() error { return measureBlocks(r, s.Totals, s.Changed, s.ChangedFile) },
+		func() error { measureLocate(r, s.LocateVMs); return nil },
+		func() error { measureRecords(r, s.BookingVMs, s.BookingRates); return nil },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/capacity/transport.go
@@ -0,0 +1,255 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/outbox"
+	"github.com/cassiawind/cassiawind/declare"
+	"github.com/cassiawind/cassiawind/entry/peers"
+	"github.com/cassiawind/cassiawind/entry/policy"
+	"github.com/cassiawind/cassiawind/entry/service"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+)
+
+const (
+	roleTransport = "transport between entry VMs"
+	roleHealth    = "health and load of sites"
+
+	byHints   = "hints in the heartbeat"
+	byServers = "backend servers"
+
+	atExchange = "one heartbeat and its ack in an exchange"
+	atPolling  = "every VM polls every server each second"
+
+	loopback      = "127.0.0.1:0"
+	tcp           = "tcp"
+	serverFormat  = "server-%04d"
+	serviceName   = "service"
+	contentType   = "Content-Type"
+	jsonType      = "application/json"
+	healthAnswer  = `{"state":"serving","slots":8,"in_flight":3}`
+	hintUnits     = 95_325
+	exchangeCount = 1500
+	exchangeWait  = 5 * time.Second
+	pollFor       = 3 * time.Second
+)
+
+// Series of the transports.
+var (
+	exchangeCPU    = Series{roleTransport, "time of both ends for an exchange", unitMicro, byHints, atExchange}
+	exchangeBytes  = Series{roleTransport, "bytes of both directions of an exchange, TCP payload", unitBytes, byHints, atExchange}
+	exchangeMemory = Series{roleTransport, "memory of both ends of a connection", unitBytes, "connections", atEmpty}
+	pollMessages   = Series{roleHealth, "polls", unitPerVM, byServers, atPolling}
+	pollBytes      = Series{roleHealth, "bytes of both directions, TCP payload", unitBytesPerVM, byServers, atPolling}
+	pollCPU        = Series{roleHealth, "time of both ends", unitCPUPerVM, byServers, atPolling}
+	pollMemory     = Series{roleHealth, "memory of core/balance and entry/service", "bytes/VM", byServers, atPolling}
+)
+
+// ErrExchange means that an exchange over loopback got no answer.
+var ErrExchange = errors.New("exchange was not answered")
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// endpoint is one end of the peer transport.
+type endpoint struct {
+	self   *peerv1.Member
+	others map[string]*peerv1.Member
+	acks   chan struct{}
+}
+
+// Self implements peers.Directory.
+func (e *endpoint) Self() *peerv1.Member { return e.self }
+
+// Peer implements peers.Directory.
+func (e *endpoint) Peer(vm string) *peerv1.Member { return e.others[vm] }
+
+// Receive implements peers.Handler as a granter does.
+func (e *endpoint) Receive(from *peerv1.Member, m *peerv1.Message) []outbox.Send {
+	hb := m.GetHeartbeat()
+	if hb == nil {
+		e.acks <- struct{}{}
+		return nil
+	}
+	ack := &peerv1.HeartbeatAck{SentNs: hb.SentNs, Epoch: hb.Epoch, ConfigVersion: hb.ConfigVersion, TableContactAgeMs: 1}
+	return []outbox.Send{{To: from.Vm, Message: &peerv1.Message{Kind: &peerv1.Message_HeartbeatAck{HeartbeatAck: ack}}}}
+}
+
+// serve starts an HTTP server on loopback and returns its address, the bytes of
+// its connections and how to stop it.
+func serve(h http.Handler) (string, *atomic.Int64, func() error, error) {
+	l, err := net.Listen(tcp, loopback)
+	if err != nil {
+		return "", nil, nil, errors.WithStack(err)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	bytes := new(atomic.Int64)
+	s := &http.Server{Handler: h, Protocols: protocols}
+	go s.Serve(countingListener{l, bytes})
+	return l.Addr().String(), bytes, s.Close, nil
+}
+
+func heartbeat(hints int) *peerv1.Message {
+	hb := &peerv1.Heartbeat{SentNs: 1 << 59, Epoch: 1, ConfigVersion: 1, TableContactAgeMs: 1}
+	for i := range hints {
+		hb.Hints = append(hb.Hints, &peerv1.QuotaHint{Limit: fmt.Sprintf(limitName, i), Units: hintUnits, DemandUnits: hintUnits})
+	}
+	return &peerv1.Message{Kind: &peerv1.Message_Heartbeat{Heartbeat: hb}}
+}
+
+// measureExchange measures the connect transport of entry/peers over loopback.
+func measureExchange(r *Recorder, hints []int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	giver := &endpoint{self: newMember(1)}
+	address, bytes, stop, err := serve(peers.New(ctx, giver, giver, logr.Discard()).Handler())
+	if err != nil {
+		return err
+	}
+	defer stop()
+	giver.self.PeerAddress = address
+	taker := &endpoint{self: newMember(0), others: map[string]*peerv1.Member{giver.self.Vm: giver.self}, acks: make(chan struct{}, 1)}
+	transport := peers.New(ctx, taker, taker, logr.Discard())
+	exchange := func(n int, m *peerv1.Message) error {
+		for range n {
+			transport.Send([]outbox.Send{{To: giver.self.Vm, Message: m}})
+			select {
+			case <-taker.acks:
+			case <-time.After(exchangeWait):
+				return ErrExchange
+			}
+		}
+		return nil
+	}
+	for _, n := range hints {
+		m := heartbeat(n)
+		if err := exchange(exchangeCount/10, m); err != nil {
+			return err
+		}
+		before, began := bytes.Load(), cpuTime()
+		if err := exchange(exchangeCount, m); err != nil {
+			return err
+		}
+		r.Add(exchangeCPU, atEmpty, float64(n), (cpuTime()-began).Seconds()*microseconds/exchangeCount)
+		r.Add(exchangeBytes, atEmpty, float64(n), float64(bytes.Load()-before)/exchangeCount)
+	}
+	return nil
+}
+
+// measureConnections measures the memory of connections to other entry VMs.
+func measureConnections(r *Recorder, counts []int) error {
+	for _, n := range counts {
+		if err := measureConnected(r, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureConnected(r *Recorder, n int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	giver := &endpoint{self: newMember(1)}
+	giver.self.Vm = ""
+	giver.self.Incarnation = 0
+	address, _, stop, err := serve(peers.New(ctx, giver, giver, logr.Discard()).Handler())
+	if err != nil {
+		return err
+	}
+	defer stop()
+	before := liveHeap()
+	taker := &endpoint{self: newMember(0), others: map[string]*peerv1.Member{}, acks: make(chan struct{}, n)}
+	transport := peers.New(ctx, taker, taker, logr.Discard())
+	for i := range n {
+		m := newMember(i + 1)
+		// All connections lead to one listener, which answers for no VM.
+		m.PeerAddress = address
+		taker.others[m.Vm] = m
+		transport.Send([]outbox.Send{{To: m.Vm, Message: heartbeat(0)}})
+	}
+	time.Sleep(connectWait)
+	r.Add(exchangeMemory, atEmpty, float64(n), float64(liveHeap()-before))
+	return nil
+}
+
+// connectWait lets all connections open.
+const connectWait = time.Second
+
+// measurePolling lets entry/service poll servers that share one listener.
+func measurePolling(r *Recorder, servers []int) error {
+	var polls atomic.Int64
+	address, bytes, stop, err := serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		polls.Add(1)
+		w.Header().Set(contentType, jsonType)
+		_, _ = io.WriteString(w, healthAnswer)
+	}))
+	if err != nil {
+		return err
+	}
+	defer stop()
+	for _, n := range servers {
+		before := liveHeap()
+		s := service.New(serviceName, 1)
+		declared := &declare.Service{Name: serviceName}
+		for i := range n {
+			declared.BackendServers = append(declared.BackendServers, declare.BackendServer{
+				Name: fmt.Sprintf(serverFormat, i), Address: address, Region: regionName(i % regionsTarget), Slots: 8, Connections: 360,
+			})
+		}
+		s.Configure(time.Now(), &policy.Policy{Services: map[string]*declare.Service{serviceName: declared}}, 1)
+		size := float64(n)
+		r.Add(pollMemory, atEmpty, size, float64(liveHeap()-before))
+		ctx, cancel := context.WithTimeout(context.Background(), pollFor)
+		bytes.Store(0)
+		polls.Store(0)
+		began := cpuTime()
+		service.NewPoller().Run(ctx, s)
+		cancel()
+		took := cpuTime() - began
+		// The rounds at 0, 1 and 2 s fall into the time; that at 3 s may.
+		rounds := float64(polls.Load()) / size
+		r.Add(pollMessages, atEmpty, size, float64(polls.Load())/rounds)
+		r.Add(pollBytes, atEmpty, size, float64(bytes.Load())/rounds)
+		r.Add(pollCPU, atEmpty, size, took.Seconds()*microseconds/rounds)
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/capacity/world.go
@@ -0,0 +1,434 @@
+package capacity
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cassiawind/cassiawind/core/configsync"
+	"github.com/cassiawind/cassiawind/core/fleet"
+	"github.com/cassiawind/cassiawind/core/membership"
+	"github.com/cassiawind/cassiawind/core/outbox"
+	"github.com/cassiawind/cassiawind/core/quota"
+	"github.com/cassiawind/cassiawind/core/tableop"
+	"github.com/cassiawind/cassiawind/entry/control"
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
+	"github.com/cassiawind/cassiawind/platform"
+	"github.com/cassiawind/cassiawind/platform/memory"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// hintDelay is that of entry/control: hints are made shortly before a
+	// heartbeat.
+	hintDelay = 150 * time.Millisecond
+	// near and far are the one-way delays of the deployment with the longer
+	// ones.
+	near = time.Millisecond
+	far  = 55 * time.Millisecond
+	// regionsToday is the number of regions of both deployments.
+	regionsToday = 3
+
+	nameFormat    = "vm-%04d"
+	addressFormat = "10.20.%d.%d:7001"
+	callerFormat  = "10.20.%d.%d:8080"
+	regionFormat  = "region-%02d"
+	domainFormat  = "region-%02d-domain-%d"
+	octet         = 256
+)
+
+// part is a concern whose cost is counted apart.
+type part int
+
+const (
+	partFleet part = iota
+	partQuota
+	partMembership
+	partConfig
+	parts
+)
+
+// counts are sums over all VMs.
+type counts struct {
+	messages, bytes [parts]float64
+	// cpu is the time spent in the machines, in seconds. Encoding and transport
+	// are measured apart.
+	cpu [parts]float64
+	// exchanges are batches with their answers; framing are their bytes without
+	// those of the messages.
+	exchanges, framing float64
+	// hints are the bytes of the quota hints in heartbeats.
+	hints           float64
+	reads, writes   [parts]float64
+	objectBytes     float64
+	requests, given float64
+	// epochBytes are those of messages about epochs and evictions; rowWrites and
+	// leaseWrites are transactions that change the fleet row and lease rows.
+	epochBytes, rowWrites, leaseWrites float64
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
+
+// clock is a queue of calls in virtual time.
+type clock struct {
+	start time.Time
+	now   time.Duration
+	queue events
+	order uint64
+}
+
+func newClock() clock { return clock{start: time.Unix(1_700_000_000, 0)} }
+
+func (c *clock) at() time.Time { return c.start.Add(c.now) }
+
+func (c *clock) after(d time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.queue, event{at: c.now + d, order: c.order, run: run})
+}
+
+func (c *clock) run(d time.Duration) {
+	until := c.now + d
+	for len(c.queue) > 0 && c.queue[0].at <= until {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = until
+}
+
+// world is a fleet in virtual time. Each VM runs the machines that it has.
+type world struct {
+	clock
+	rnd   *rand.Rand
+	table *memory.Table
+	vms   []*vm
+	index map[string]int
+	// limits are those of all VMs.
+	limits []quota.Limit
+	counts
+}
+
+// vm drives the machines as entry/control does.
+type vm struct {
+	w      *world
+	member *peerv1.Member
+	fleet  *fleet.Machine
+	quota  *quota.Manager
+	swim   *membership.Machine
+	store  *configsync.Store
+	beatAt time.Duration
+	info   fleet.HeartbeatInfo
+	wait   []waiting
+	gone   bool
+	// inForce is the configuration version told to peers.
+	inForce uint64
+	// onStore follows an installed version, onObject fetches an object.
+	onStore  func()
+	onObject func(name string)
+}
+
+func newWorld(n int, seed uint64) *world {
+	w := &world{clock: newClock(), rnd: rand.New(rand.NewPCG(seed, uint64(n))), table: memory.NewTable(), index: map[string]int{}}
+	for i := range n {
+		w.addVM(i)
+	}
+	return w
+}
+
+func newMember(i int) *peerv1.Member {
+	region := i % regionsToday
+	return &peerv1.Member{
+		Vm: fmt.Sprintf(nameFormat, i), Incarnation: uint64(1_700_000_000_000_000_000 + i),
+		PeerAddress:   fmt.Sprintf(addressFormat, i/octet, i%octet),
+		CallerAddress: fmt.Sprintf(callerFormat, i/octet, i%octet),
+		Region:        fmt.Sprintf(regionFormat, region), FailureDomain: fmt.Sprintf(domainFormat, region, i/regionsToday%2),
+	}
+}
+
+func (w *world) addVM(i int) *vm {
+	v := &vm{w: w, member: newMember(i)}
+	w.vms = append(w.vms, v)
+	w.index[v.member.Vm] = i
+	w.after(time.Duration(w.rnd.Int64N(int64(tickInterval))), v.tick)
+	return v
+}
+
+func (w *world) newRand() *rand.Rand { return rand.New(rand.NewPCG(w.rnd.Uint64(), 1)) }
+
+// seedFleet writes an epoch with all VMs, so that they need not join one by one.
+func (w *world) seedFleet() error {
+	f := &peerv1.Fleet{Epoch: 1, WriterVm: w.vms[0].member.Vm}
+	for _, v := range w.vms {
+		f.Members = append(f.Members, v.member)
+		v.fleet = fleet.New(v.member, w.newRand())
+	}
+	row, err := fleet.EncodeRow(f)
+	if err != nil {
+		return err
+	}
+	_, err = w.table.Transact(context.Background(), []platform.Write{{Key: fleet.RowKey, Value: row}})
+	return err
+}
+
+func (w *world) delay(a, b *vm) time.Duration {
+	if a.member.Region == b.member.Region {
+		return near
+	}
+	return far
+}
+
+func (w *world) timed(p part, f func()) {
+	began := time.Now()
+	f()
+	w.cpu[p] += time.Since(began).Seconds()
+}
+
+// call carries out a table call and passes the result on.
+func (w *world) call(p part, op tableop.Op, result func(tableop.Result)) {
+	w.reads[p] += float64(len(op.Reads))
+	if len(op.Writes) > 0 {
+		w.writes[p]++
+		w.countWrite(op.Writes)
+	}
+	w.after(near, func() {
+		r := control.RunOp(context.Background(), w.table, op)
+		w.after(near, func() { result(r) })
+	})
+}
+
+func (w *world) countWrite(writes []platform.Write) {
+	for _, write := range writes {
+		switch {
+		case write.CheckOnly:
+		case write.Key == fleet.RowKey:
+			w.rowWrites++
+		case strings.HasPrefix(write.Key, fleet.LeaseKeyPrefix):
+			w.leaseWrites++
+		}
+	}
+}
+
+func partOf(m *peerv1.Message) part {
+	switch m.Kind.(type) {
+	case *peerv1.Message_QuotaRequest, *peerv1.Message_QuotaTransfer, *peerv1.Message_ReconcileRequest,
+		*peerv1.Message_ReconcileReport, *peerv1.Message_ReconcileCredit:
+		return partQuota
+	case *peerv1.Message_Ping, *peerv1.Message_PingAck, *peerv1.Message_PingRequest:
+		return partMembership
+	case *peerv1.Message_ConfigRequest, *peerv1.Message_ConfigUpdate:
+		return partConfig
+	}
+	return partFleet
+}
+
+// batch counts a batch as the transport sends it.
+func (w *world) batch(from, to *vm, messages []*peerv1.Message) {
+	for _, m := range messages {
+		p := partOf(m)
+		w.messages[p]++
+		w.bytes[p] += float64(proto.Size(m))
+		if p == partFleet && m.GetHeartbeat() == nil && m.GetHeartbeatAck() == nil {
+			w.epochBytes += float64(proto.Size(m))
+		}
+		if hints := m.GetHeartbeat().GetHints(); len(hints) > 0 {
+			w.hints += float64(proto.Size(&peerv1.Heartbeat{Hints: hints}))
+		}
+	}
+	b := &peerv1.Batch{From: from.member, ToVm: to.member.Vm, ToIncarnation: to.member.Incarnation, Messages: messages}
+	w.framing += float64(proto.Size(b))
+	for _, m := range messages {
+		w.framing -= float64(proto.Size(m))
+	}
+}
+
+// post sends messages as one call of peers.Transport.Send does: one exchange for
+// each receiver.
+func (v *vm) post(sends []outbox.Send) {
+	var order []string
+	byVM := map[string][]*peerv1.Message{}
+	for _, s := range sends {
+		if byVM[s.To] == nil {
+			order = append(order, s.To)
+		}
+		byVM[s.To] = append(byVM[s.To], s.Message)
+	}
+	for _, to := range order {
+		i, known := v.w.index[to]
+		if !known || v.w.vms[i].gone {
+			continue
+		}
+		peer, messages := v.w.vms[i], byVM[to]
+		v.w.exchanges++
+		v.w.batch(v, peer, messages)
+		v.w.after(v.w.delay(v, peer), func() { peer.answer(v, messages) })
+	}
+}
+
+// answer receives a batch and returns the messages for its sender with the
+// answer.
+func (v *vm) answer(from *vm, messages []*peerv1.Message) {
+	if v.gone {
+		return
+	}
+	back := v.deliver(from, messages)
+	v.w.batch(v, from, back)
+	v.w.after(v.w.delay(v, from), func() {
+		if from.gone {
+			return
+		}
+		var sends []outbox.Send
+		for _, m := range from.deliver(v, back) {
+			sends = append(sends, outbox.Send{To: v.member.Vm, Message: m})
+		}
+		from.post(sends)
+	})
+}
+
+func (v *vm) deliver(from *vm, messages []*peerv1.Message) (back []*peerv1.Message) {
+	var others []outbox.Send
+	for _, m := range messages {
+		for _, s := range v.receive(from.member, m) {
+			if s.To == from.member.Vm {
+				back = append(back, s.Message)
+			} else {
+				others = append(others, s)
+			}
+		}
+	}
+	v.post(others)
+	return back
+}
+
+func (v *vm) receive(from *peerv1.Member, m *peerv1.Message) (sends []outbox.Send) {
+	now, p := v.w.at(), partOf(m)
+	switch {
+	case p == partMembership && v.swim != nil:
+		v.w.timed(p, func() { sends = v.swim.Receive(now, from, m) })
+	case p == partQuota && v.quota != nil:
+		v.w.timed(p, func() { sends = v.quota.Receive(now, from, m) })
+		if m.GetQuotaTransfer() != nil {
+			v.retry()
+		}
+	case p == partConfig && v.store != nil:
+		changed := false
+		v.w.timed(p, func() { sends, changed = v.store.Receive(now, from, m) })
+		if changed {
+			v.onStore()
+		}
+	case p == partFleet:
+		sends = v.receiveFleet(from, m)
+	}
+	return sends
+}
+
+func (v *vm) receiveFleet(from *peerv1.Member, m *peerv1.Message) (sends []outbox.Send) {
+	now := v.w.at()
+	if hb := m.GetHeartbeat(); hb != nil {
+		if v.quota != nil {
+			v.w.timed(partQuota, func() { v.quota.PeerHints(now, from.Vm, hb.Hints) })
+		}
+		if v.store != nil {
+			v.w.timed(partConfig, func() { sends = v.store.PeerVersion(now, from.Vm, hb.ConfigVersion) })
+		}
+	}
+	if v.fleet == nil {
+		return sends
+	}
+	return append(sends, v.step(func(f *fleet.Machine) fleet.Output { return f.Receive(now, from, m) })...)
+}
+
+func (v *vm) tick() {
+	if v.gone {
+		return
+	}
+	v.w.after(tickInterval, v.tick)
+	now := v.w.at()
+	if v.quota != nil {
+		var sends []outbox.Send
+		v.w.timed(partQuota, func() { sends = v.quota.Tick(now) })
+		v.post(sends)
+		v.retry()
+	}
+	if v.swim != nil {
+		var sends []outbox.Send
+		v.w.timed(partMembership, func() { sends = v.swim.Tick(now) })
+		v.post(sends)
+	}
+	v.tickStore()
+	if v.fleet != nil {
+		v.prepareHeartbeat()
+		v.post(v.step(func(f *fleet.Machine) fleet.Output { return f.Tick(now) }))
+	}
+}
+
+func (v *vm) prepareHeartbeat() {
+	if v.quota != nil && v.w.now-v.beatAt >= hintDelay {
+		v.w.timed(partQuota, func() { v.info.Hints = mergeHints(v.info.Hints, v.quota.Hints(v.w.at())) })
+	}
+	v.info.ConfigVersion = v.inForce
+	v.fleet.SetInfo(v.info)
+}
+
+// mergeHints puts newer hints in place of older ones of the same limit, as
+// entry/control does.
+func mergeHints(waiting, newer []*peerv1.QuotaHint) []*peerv1.QuotaHint {
+	told := make(map[string]bool, len(newer))
+	for _, h := range newer {
+		told[h.Limit] = true
+	}
+	merged := append([]*peerv1.QuotaHint(nil), newer...)
+	for _, h := range waiting {
+		if !told[h.Limit] {
+			merged = append(merged, h)
+		}
+	}
+	return merged
+}
+
+func (v *vm) step(f func(*fleet.Machine) fleet.Output) []outbox.Send {
+	var out fleet.Output
+	v.w.timed(partFleet, func() { out = f(v.fleet) })
+	if out.EpochChanged && v.quota != nil {
+		v.w.timed(partQuota, func() { out.Sends = append(v.quota.EnterEpoch(v.w.at(), v.fleet.Fleet()), out.Sends...) })
+	}
+	for _, s := range out.Sends {
+		if s.Message.GetHeartbeat() != nil {
+			v.beatAt, v.info.Hints = v.w.now, nil
+			break
+		}
+	}
+	for _, op := range out.Table {
+		v.w.call(partFleet, op, func(r tableop.Result) {
+			v.post(v.step(func(f *fleet.Machine) fleet.Output { return f.TableResult(v.w.at(), r) }))
+		})
+	}
+	if out.Left || out.Evicted {
+		v.gone = true
+	}
+	return out.Sends
+}
