--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -16,10 +16,11 @@
 const silentAfter = time.Second
 
 // LeaseValid reports whether this VM may admit requests at the given time. It
-// uses the monotonic clock, so that a process that was paused past its lease
-// sees that at once.
+// compares the monotonic clock, so that a process that was paused past its lease
+// sees that at once, and the wall clock, since the monotonic clock may stand
+// still while a VM is suspended.
 func (c *Control) LeaseValid(now time.Time) bool {
-	return int64(now.Sub(c.base)) < c.leaseUntil.Load()
+	return int64(now.Sub(c.base)) < c.leaseUntil.Load() && now.UnixNano() < c.leaseWall.Load()
 }
 
 // Policy returns the configuration in force.
