measure: run the traffic experiments in make measure

The nine traffic scenarios had a figure type of their own and ran only in their test. They are now experiments of package measure for both deployments, with targets, named baselines and plots. TestExperiments checks the same figures.

--- a/measure/cmd/measure/main.go
+++ b/measure/cmd/measure/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassiawind/cassiawind/measure"
 	"github.com/cassiawind/cassiawind/measure/quotasim"
+	"github.com/cassiawind/cassiawind/measure/trafficsim"
 )
 
 const outDir = "out"
@@ -19,6 +20,7 @@
 func experiments() []measure.Experiment {
 	return slices.Concat(
 		quotasim.Experiments(),
+		trafficsim.Experiments(),
 	)
 }
 
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -27,6 +27,8 @@
 	Met *bool `json:"met,omitempty"`
 	// Baseline is the value of the baseline in the same run.
 	Baseline *float64 `json:"baseline,omitempty"`
+	// BaselineName tells apart the baselines of a figure that has several.
+	BaselineName string `json:"baseline_name,omitempty"`
 }
 
 // Experiment is a function of a seed. The same seed gives the same figures.
--- a/measure/report.go
+++ b/measure/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,7 @@
 	ownName      = "measured"
 	baselineName = "baseline"
 	tableHeader  = "experiment\tfigure\tseeds\tworst\tunit\ttarget\tmet\tbaseline"
+	baselineCell = "%.5g %s"
 	absent       = "-"
 	missed       = "MISSED"
 	kept         = "met"
@@ -51,11 +53,11 @@
 }
 
 func groups(figures []Figure) []group {
-	type key struct{ experiment, figure string }
+	type key struct{ experiment, figure, baseline string }
 	at := map[key]int{}
 	var out []group
 	for _, f := range figures {
-		k := key{f.Experiment, f.Figure}
+		k := key{f.Experiment, f.Figure, f.BaselineName}
 		i, ok := at[k]
 		if !ok {
 			at[k] = len(out)
@@ -85,7 +87,7 @@
 			}
 		}
 		if f.Baseline != nil {
-			baseline = fmt.Sprintf("%.5g", *f.Baseline)
+			baseline = strings.TrimSpace(fmt.Sprintf(baselineCell, *f.Baseline, f.BaselineName))
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d\t%.5g\t%s\t%s\t%s\t%s\n", f.Experiment, f.Figure, len(g.figures), f.Value, f.Unit, target, met, baseline)
 	}
--- a/measure/trafficsim/trafficsim_test.go
+++ b/measure/trafficsim/trafficsim_test.go
@@ -29,7 +29,7 @@
 	if *allSeeds {
 		seeds = Seeds
 	}
-	for _, e := range Experiments {
+	for _, e := range scenarios {
 		for _, d := range Deployments {
 			for _, seed := range seeds {
 				t.Run(e.Name+separator+d.Name+separator+strconv.FormatUint(seed, 10), func(t *testing.T) {
