--- a/measure/cmd/measure/main.go
+++ b/measure/cmd/measure/main.go
@@ -10,7 +10,11 @@
 	"strings"
 
 	"github.com/cassiawind/cassiawind/measure"
+	"github.com/cassiawind/cassiawind/measure/bookingsim"
+	"github.com/cassiawind/cassiawind/measure/configsim"
+	"github.com/cassiawind/cassiawind/measure/fleetsim"
 	"github.com/cassiawind/cassiawind/measure/quotasim"
+	"github.com/cassiawind/cassiawind/measure/trafficsim"
 )
 
 const outDir = "out"
@@ -19,6 +23,10 @@
 func experiments() []measure.Experiment {
 	return slices.Concat(
 		quotasim.Experiments(),
+		trafficsim.Experiments(),
+		fleetsim.Experiments(),
+		bookingsim.Experiments(),
+		configsim.Experiments(),
 	)
 }
 
