core/quota: a new incarnation forgets the transfer numbers of its peers

Cause: peers number their transfers to a new incarnation from 1 again, while an evicted VM that returns kept the numbers it had seen and took the first transfers for duplicates. Change: the peers are forgotten when the own incarnation changes.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -237,6 +237,31 @@
 	require.Zero(t, m.limits[testLimit].units)
 }
 
+// Guards against an evicted VM that takes the first transfers to its new
+// incarnation for duplicates of earlier ones: peers number them from 1 again.
+func TestNewIncarnationAcceptsTransfers(t *testing.T) {
+	n := settled(t, 2, large)
+	giver, taker := n.nodes[0], n.nodes[1]
+	transfer := func(from *Manager, units uint32) *peerv1.Message {
+		s := from.limits[testLimit]
+		return from.transfer(n.now, s, 0, units, 0).Message
+	}
+	member := func(vm string) *peerv1.Member { return memberOf(giver.m.fleet, vm) }
+	taker.m.Receive(n.now, member("vm00"), transfer(giver.m, 1))
+	without := proto.CloneOf(n.fleet)
+	without.Epoch++
+	without.Members = []*peerv1.Member{member("vm00")}
+	with := proto.CloneOf(n.fleet)
+	with.Epoch += 2
+	memberOf(with, "vm01").Incarnation = 2
+	giver.m.EnterEpoch(n.now, without)
+	giver.m.EnterEpoch(n.now, with)
+	taker.m.EnterEpoch(n.now, nil)
+	taker.m.EnterEpoch(n.now, with)
+	taker.m.Receive(n.now, memberOf(with, "vm00"), transfer(giver.m, 7))
+	require.EqualValues(t, 7, taker.m.limits[testLimit].units)
+}
+
 // Guards against a refund that fills the bucket above its capacity.
 func TestRefundStaysWithinCapacity(t *testing.T) {
 	n := settled(t, 1, large)
--- a/core/quota/reconcile.go
+++ b/core/quota/reconcile.go
@@ -49,6 +49,11 @@
 	if self := memberOf(f, m.self); self.GetIncarnation() != m.incarnation {
 		m.dropAll()
 		m.incarnation = self.GetIncarnation()
+		// Peers number their transfers to a new incarnation from 1 again.
+		m.peers = nil
+		for _, s := range m.order {
+			s.hints = nil
+		}
 	}
 	m.fleet, m.member, m.hintAll = f, true, true
 	m.setPeers(f)
