core/once: no 'not run' while an earlier request with the key may have run

Cause: with the table down, a repeated booking was answered 'not run' although its first request had run: the record could not be read. Change: the verdict StoreUnavailable counts as 'may have run'. The state machine test also rejects a 'not run' for a key that an earlier request ran. The step test of an outage asserted 'not run' and now asserts the safe answer.

--- a/core/once/attempt_test.go
+++ b/core/once/attempt_test.go
@@ -262,7 +262,7 @@
 	w.do(a, Write, refused)
 	w.verdict(a, StoreUnavailable)
 	require.Equal(t, Finish, a.step.Kind)
-	require.False(t, a.response.Verdict.MayHaveRun())
+	require.True(t, a.response.Verdict.MayHaveRun(), "an earlier request with the key may have run")
 	b := w.begin("b", "f")
 	w.do(b, Write, noFault)
 	c := w.begin("c", "f")
--- a/core/once/machine_test.go
+++ b/core/once/machine_test.go
@@ -25,6 +25,9 @@
 	// ran tells that a backend server ran the request; body is its answer.
 	ran  bool
 	body string
+	// answered tells that the response was checked when it was given.
+	answered bool
+	begun    time.Time
 }
 
 // machine drives attempts on several VMs with random faults.
@@ -42,7 +45,7 @@
 	v := rapid.SampledFrom(m.vms).Draw(t, "vm")
 	key := rapid.SampledFrom([]string{"k1", "k1", "k1", "k2"}).Draw(t, "key")
 	id := fmt.Sprint(len(m.all))
-	r := &machineRun{vm: v, key: key}
+	r := &machineRun{vm: v, key: key, begun: m.now}
 	r.a = NewAttempt(Config{InlineBodyBytes: 3}, Params{
 		Account: "acme", IdempotencyKey: key, AttemptID: id, Fingerprint: "f",
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "deadline s")) * time.Second),
@@ -204,8 +207,12 @@
 			t.Fatalf("%s ran %d times", key, n)
 		}
 	}
-	for _, r := range m.all {
+	for i, r := range m.all {
+		first := r.response != nil && !r.answered
+		r.answered = r.response != nil
 		switch {
+		case first && !r.response.Verdict.MayHaveRun() && r.response.Verdict != KeyReused && m.earlierRan(i):
+			t.Fatalf("answered not run with verdict %d, but an earlier request with the key had run", r.response.Verdict)
 		case r.response == nil:
 		case !r.response.Verdict.MayHaveRun() && r.ran:
 			t.Fatalf("answered not run with verdict %d, but it ran", r.response.Verdict)
@@ -215,6 +222,18 @@
 	}
 }
 
+// earlierRan reports whether a request with the same key that began before the
+// given one, and whose record is still kept, has run.
+func (m *machine) earlierRan(at int) bool {
+	r := m.all[at]
+	for _, e := range m.all[:at] {
+		if e.key == r.key && e.ran && m.now.Sub(e.begun) < Retention {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against a second execution for one key, a not-run answer that is not
 // true, and two answers, under lost, late and refused table calls, killed and
 // paused VMs, batches with conflicts and deleted records.
--- a/core/once/types.go
+++ b/core/once/types.go
@@ -132,7 +132,9 @@
 	Unanswered
 	// KeyReused: the key was used for a different request.
 	KeyReused
-	// StoreUnavailable: the claim could not be made.
+	// StoreUnavailable: the claim could not be made. This request was not run,
+	// but the record that would tell of an earlier one with the same key could
+	// not be read.
 	StoreUnavailable
 	// TooLate: the dispatch deadline passed before the request was dispatched.
 	TooLate
@@ -144,7 +146,12 @@
 // have run. The other verdicts without an outcome mean that the request was not
 // run.
 func (v Verdict) MayHaveRun() bool {
-	return v == Fresh || v == Stored || v == OutcomeLost || v == InProgress || v == Unanswered
+	switch v {
+	case Fresh, Stored, OutcomeLost, InProgress, Unanswered, StoreUnavailable:
+		return true
+	default:
+		return false
+	}
 }
 
 // HasOutcome says whether the response carries an outcome of a backend server.
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -295,7 +295,8 @@
 }
 
 // Guards against a keyed booking running without a record while the store is
-// down; one without a key needs no record.
+// down, and against "not run" for a repeat whose first request ran; one without
+// a key needs no record.
 func TestStoreDown(t *testing.T) {
 	var ran atomic.Int32
 	f := newFixture(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
@@ -303,7 +304,7 @@
 	resp := f.do(t, "POST", "/book/1", "x", "Idempotency-Key", "k")
 	code, run := decode(t, resp)
 	assert.Equal(t, problem.CodeStoreUnavailable, code)
-	assert.Equal(t, problem.NotRun, run)
+	assert.Equal(t, problem.MayHaveRun, run)
 	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
 	assert.Zero(t, ran.Load())
 	assert.Equal(t, http.StatusOK, f.do(t, "POST", "/book/1", "x").StatusCode)
--- a/entry/forward/keyed.go
+++ b/entry/forward/keyed.go
@@ -109,7 +109,7 @@
 	case once.KeyReused:
 		rej = problem.New(problem.CodeKeyReused, http.StatusUnprocessableEntity, "the Idempotency-Key was used for another request")
 	case once.StoreUnavailable:
-		rej = problem.New(problem.CodeStoreUnavailable, http.StatusServiceUnavailable, "the at-most-once record can not be written now")
+		rej = problem.New(problem.CodeStoreUnavailable, http.StatusServiceUnavailable, "the at-most-once record can not be read or written now; repeat with the same Idempotency-Key")
 	case once.TooLate:
 		rej = problem.New(problem.CodeDeadlineExceeded, http.StatusGatewayTimeout, "the deadline passed before the request was sent")
 	default:
