measure/capacity: heartbeats to ten members at once, declared servers

One exchange at a time over one connection is not how heartbeats are sent, and a change without client blocks still decodes all other declarations, which was not measured.

--- a/measure/capacity/config.go
+++ b/measure/capacity/config.go
@@ -64,6 +64,7 @@
 	compileTotal   = Series{roleConfig, "time of policy.Compiler for one changed file", unitMilli, byTotal, atEmpty}
 	compileFirst   = Series{roleConfig, "time of policy.Compiler for the first version", unitMilli, byTotal, atEmpty}
 	compileFree    = Series{roleConfig, "time of debug.FreeOSMemory after a compilation", unitMilli, byTotal, atEmpty}
+	compileServers = Series{roleConfig, "time of policy.Compiler for a change without blocks", unitMilli, byServers, atEmpty}
 	blockBytes     = Series{roleConfig, "content of a file", unitBytes, byBlocks, atEmpty}
 )
 
@@ -424,3 +425,38 @@
 	runtime.KeepAlive(p)
 	return nil
 }
+
+const (
+	servicesFile = "00001.json"
+	servicesHead = `{"services":[{"name":"service","backend_servers":[`
+	servicesTail = `]}]}`
+	serverForm   = `{"name":"server-%05d","address":"10.0.%d.%d:80","region":"%s","failure_domain":"%s","slots":8,"connections":360}`
+)
+
+// measureServers measures policy.Compiler by the number of declared backend
+// servers, which every version decodes again.
+func measureServers(r *Recorder, servers []int) error {
+	for _, n := range servers {
+		var b bytes.Buffer
+		b.WriteString(servicesHead)
+		for i := range n {
+			if i > 0 {
+				b.WriteByte(listSeparator)
+			}
+			region := i % regionsTarget
+			fmt.Fprintf(&b, serverForm, i, i/octet, i%octet, regionName(region), fmt.Sprintf(domainFormat, region, 0))
+		}
+		b.WriteString(servicesTail)
+		entries := []*peerv1.ConfigEntry{regionsEntry(), {Name: servicesFile, Version: 1, Content: b.Bytes()}}
+		var c policy.Compiler
+		const turns = 5
+		began := cpuTime()
+		for turn := range uint64(turns) {
+			if _, err := c.Compile(turn+1, entries); err != nil {
+				return err
+			}
+		}
+		r.Add(compileServers, atEmpty, float64(n), (cpuTime()-began).Seconds()*1000/turns)
+	}
+	return nil
+}
--- a/measure/capacity/routing.go
+++ b/measure/capacity/routing.go
@@ -34,6 +34,7 @@
 	blockAllocs   = Series{roleLookup, "allocations of Blocks.Lookup, 2,000,000 calls", unitAllocation, byTotal, atEmpty}
 	blockUpdate   = Series{roleConfig, "time of Blocks.Update", unitMicro, byChanged, atEmpty}
 	locateRate    = Series{roleLookup, "Directory.Locate", unitPerCore, byVMs, atEmpty}
+	locateTime    = Series{roleLookup, "time of Directory.Locate", unitMicro, byVMs, atEmpty}
 	locateAllocs  = Series{roleLookup, "allocations of Directory.Locate, 20,000 calls", unitAllocation, byVMs, atEmpty}
 	directoryTime = Series{roleLookup, "time of NewDirectory", unitMicro, byVMs, atEmpty}
 )
@@ -144,7 +145,7 @@
 }
 
 // measureLocate measures the order of entry VMs for a caller of a region with a
-// thirteenth of the VMs, or a third of a small fleet.
+// forty-fifth of the VMs, or a third of a small fleet.
 func measureLocate(r *Recorder, vms []int) {
 	for _, n := range vms {
 		regions := regionsToday
@@ -176,6 +177,7 @@
 		}
 		took := time.Since(began)
 		r.Add(locateRate, atEmpty, float64(n), locates/took.Seconds())
+		r.Add(locateTime, atEmpty, float64(n), took.Seconds()*microseconds/locates)
 		r.Add(locateAllocs, atEmpty, float64(n), float64(allocations()-allocated))
 	}
 }
--- a/measure/capacity/run.go
+++ b/measure/capacity/run.go
@@ -13,6 +13,7 @@
 	Totals, ChangedFile, Changed              []int
 	LocateVMs                                 []int
 	Hints, Connections, Servers               []int
+	DeclaredServers                           []int
 	BookingVMs, BookingRates                  []int
 }
 
@@ -25,8 +26,9 @@
 		SpreadVMs: []int{4, 11, 64, 128, 256, 1024}, Files: []int{98, 1000, 4000}, FileBytes: 10_000,
 		Totals: []int{100_000, 300_000, 980_000}, ChangedFile: []int{100, 1000, 10_000}, Changed: []int{1, 100, 10_000},
 		LocateVMs: []int{11, 128, 1024, 4100},
-		Hints:     []int{0, 2, 17, 170}, Connections: []int{16, 64, 256}, Servers: []int{42, 120, 400},
-		BookingVMs: []int{11, 64, 1024}, BookingRates: []int{10, 100, 1000},
+		Hints:     []int{0, 17, 170}, Connections: []int{16, 64, 256}, Servers: []int{42, 120, 400},
+		DeclaredServers: []int{42, 400, 2000},
+		BookingVMs:      []int{11, 64, 1024}, BookingRates: []int{10, 100, 1000},
 	}
 }
 
@@ -58,6 +60,7 @@
 		func() error { return measureQuota(r, s.QuotaMembers, s.Limits) },
 		func() error { return measureSpread(r, s.SpreadVMs) },
 		func() error { return measureContent(r, s.Files, s.FileBytes) },
+		func() error { return measureServers(r, s.DeclaredServers) },
 		func() error { return measureBlocks(r, s.Totals, s.Changed, s.ChangedFile) },
 		func() error { measureLocate(r, s.LocateVMs); return nil },
 		func() error { measureRecords(r, s.BookingVMs, s.BookingRates); return nil },
--- a/measure/capacity/transport.go
+++ b/measure/capacity/transport.go
@@ -27,20 +27,25 @@
 	byHints   = "hints in the heartbeat"
 	byServers = "backend servers"
 
-	atExchange = "one heartbeat and its ack in an exchange"
+	atExchange = "one heartbeat and its ack in an exchange, 10 at once"
 	atPolling  = "every VM polls every server each second"
 
-	loopback      = "127.0.0.1:0"
-	tcp           = "tcp"
-	serverFormat  = "server-%04d"
-	serviceName   = "service"
-	contentType   = "Content-Type"
-	jsonType      = "application/json"
-	healthAnswer  = `{"state":"serving","slots":8,"in_flight":3}`
-	hintUnits     = 95_325
-	exchangeCount = 1500
-	exchangeWait  = 5 * time.Second
-	pollFor       = 3 * time.Second
+	loopback     = "127.0.0.1:0"
+	tcp          = "tcp"
+	serverFormat = "server-%04d"
+	serviceName  = "service"
+	contentType  = "Content-Type"
+	jsonType     = "application/json"
+	healthAnswer = `{"state":"serving","slots":8,"in_flight":3}`
+	hintUnits    = 95_325
+	exchangeWait = 5 * time.Second
+	// burst is the number of members that get a heartbeat at once; rounds are
+	// roundGap apart, so that the ends become idle between them.
+	burst      = 10
+	rounds     = 100
+	warmRounds = 10
+	roundGap   = 20 * time.Millisecond
+	pollFor    = 3 * time.Second
 )
 
 // Series of the transports.
@@ -137,6 +142,7 @@
 }
 
 // measureExchange measures the connect transport of entry/peers over loopback.
+// Heartbeats go to several members at once, each over a connection of its own.
 func measureExchange(r *Recorder, hints []int) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -147,30 +153,41 @@
 	}
 	defer stop()
 	giver.self.PeerAddress = address
-	taker := &endpoint{self: newMember(0), others: map[string]*peerv1.Member{giver.self.Vm: giver.self}, acks: make(chan struct{}, 1)}
-	transport := peers.New(ctx, taker, taker, logr.Discard())
-	exchange := func(n int, m *peerv1.Message) error {
-		for range n {
-			transport.Send([]outbox.Send{{To: giver.self.Vm, Message: m}})
-			select {
-			case <-taker.acks:
-			case <-time.After(exchangeWait):
-				return ErrExchange
-			}
-		}
-		return nil
+	taker := &endpoint{self: newMember(0), others: map[string]*peerv1.Member{}, acks: make(chan struct{}, burst)}
+	// The same VM under several names stands for several members.
+	for i := range burst {
+		taker.others[fmt.Sprintf(nameFormat, i+1)] = giver.self
 	}
+	transport := peers.New(ctx, taker, taker, logr.Discard())
 	for _, n := range hints {
-		m := heartbeat(n)
-		if err := exchange(exchangeCount/10, m); err != nil {
+		if err := exchangeRounds(transport, taker, heartbeat(n), warmRounds); err != nil {
 			return err
 		}
 		before, began := bytes.Load(), cpuTime()
-		if err := exchange(exchangeCount, m); err != nil {
+		if err := exchangeRounds(transport, taker, heartbeat(n), rounds); err != nil {
 			return err
 		}
-		r.Add(exchangeCPU, atEmpty, float64(n), (cpuTime()-began).Seconds()*microseconds/exchangeCount)
-		r.Add(exchangeBytes, atEmpty, float64(n), float64(bytes.Load()-before)/exchangeCount)
+		r.Add(exchangeCPU, atEmpty, float64(n), (cpuTime()-began).Seconds()*microseconds/(rounds*burst))
+		r.Add(exchangeBytes, atEmpty, float64(n), float64(bytes.Load()-before)/(rounds*burst))
+	}
+	return nil
+}
+
+func exchangeRounds(transport *peers.Transport, taker *endpoint, m *peerv1.Message, count int) error {
+	var sends []outbox.Send
+	for vm := range taker.others {
+		sends = append(sends, outbox.Send{To: vm, Message: m})
+	}
+	for range count {
+		transport.Send(sends)
+		for range sends {
+			select {
+			case <-taker.acks:
+			case <-time.After(exchangeWait):
+				return ErrExchange
+			}
+		}
+		time.Sleep(roundGap)
 	}
 	return nil
 }
