--- a/entry/locate/locate.go
+++ b/entry/locate/locate.go
@@ -63,9 +63,10 @@
 	}
 	client = host(client)
 	region := clientRegion(p, client)
-	answer := Answer{ValidMS: l.validMS, Region: region, Entries: []Entry{}}
-	var choices [maxEntries]routing.EntryChoice
-	for _, c := range snap.locate(choices[:0], client, region, l.units(snap, p, key)) {
+	var buffer [maxEntries]routing.EntryChoice
+	choices := snap.locate(buffer[:0], client, region, l.units(snap, p, key))
+	answer := Answer{ValidMS: l.validMS, Region: region, Entries: make([]Entry, 0, len(choices))}
+	for _, c := range choices {
 		answer.Entries = append(answer.Entries, Entry{VM: c.VM, Address: c.Address, Region: c.Region, Reason: string(c.Reason)})
 	}
 	return answer, true
