--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 STATICCHECK_VERSION := v0.8.2
+STATICCHECK := $(shell go env GOPATH)/bin/staticcheck
 export CGO_ENABLED := 1
 
 .PHONY: build test lint model measure capacity overhead demo faults generate tools
@@ -17,10 +18,10 @@
 lint: tools
 	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	go vet $(PACKAGES)
-	staticcheck $(PACKAGES)
+	$(STATICCHECK) $(PACKAGES)
 
 tools:
-	@command -v staticcheck >/dev/null || go install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
+	@test -x $(STATICCHECK) || go install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
 
 # Runs each specification and each of its seeded mutations.
 model:
