measure/capacity: loss of several VMs at once

The loss of a failure domain takes several members of a group, one epoch each, which the kill of one VM does not show.

--- a/measure/capacity/capacity_test.go
+++ b/measure/capacity/capacity_test.go
@@ -84,6 +84,7 @@
 func smallSizes() Sizes {
 	return Sizes{
 		Members: []int{4, 5}, EpochMembers: []int{4, 11}, Restful: []int{4}, Spreading: []int{4, 8},
+		KillMembers: 5, Killed: []int{1, 2},
 		QuotaMembers: []int{4}, Limits: []int{2, 8}, SpreadVMs: []int{2, 4}, Files: []int{2, 10}, FileBytes: 100,
 		Totals: []int{300, 1000}, ChangedFile: []int{10, 100}, Changed: []int{1, 10}, LocateVMs: []int{4, 128},
 		Hints: []int{0, 8}, Connections: []int{1, 4}, Servers: []int{2, 8}, DeclaredServers: []int{2, 8}, BookingVMs: []int{4}, BookingRates: []int{10, 100},
--- a/measure/capacity/fleet.go
+++ b/measure/capacity/fleet.go
@@ -21,6 +21,7 @@
 
 	byMembers = "members"
 	byLimits  = "limits"
+	byKilled  = "VMs killed at once"
 
 	unitPerVM      = "1/VM/s"
 	unitBytesPerVM = "bytes/VM/s"
@@ -36,6 +37,7 @@
 	atRestart = "one VM stopped and a new one joined"
 	atSpread  = "while news of a common start spreads"
 	membersAt = "%d members, %s"
+	groupAt   = "%d members"
 	atLoad    = "uneven load"
 )
 
@@ -64,6 +66,15 @@
 	changeUnits  = Series{roleQuota, "bytes of all VMs for reconciliation", unitBytes, byMembers, atKill}
 )
 
+// Series of the loss of several VMs at once.
+var (
+	killKnown  = Series{roleLease, "time until the last epoch is known to all members", unitSeconds, byKilled, atEmpty}
+	killHeld   = Series{roleQuota, "time until all units are held again", unitSeconds, byKilled, atEmpty}
+	killBytes  = Series{roleLease, "bytes of all VMs about epochs and reconciliation", unitBytes, byKilled, atEmpty}
+	killWrites = Series{roleTable, "writes of the fleet row and lease rows", unitPerChange, byKilled, atEmpty}
+	killReads  = Series{roleTable, "reads of core/fleet", unitPerChange, byKilled, atEmpty}
+)
+
 // Series of the liveness protocol and the limits.
 var (
 	swimMessages = Series{roleMembership, "messages sent", unitPerVM, byMembers, atRest}
@@ -85,6 +96,7 @@
 	warmUp      = 10 * time.Second
 	measured    = 10 * time.Second
 	changeFor   = 8 * time.Second
+	killLimit   = time.Minute
 )
 
 // perVM turns a sum over all VMs and the measured time into a rate of one VM.
@@ -137,22 +149,55 @@
 	w.recordChange(r, atRestart, size)
 
 	w.counts = counts{}
-	w.vms[0].gone = true
-	before := joiner.fleet.Fleet().GetEpoch()
-	began, known := w.now, time.Duration(0)
-	for w.now-began < 2*changeFor {
+	if known, held := w.kill(1); held > 0 {
+		r.Add(epochSlowest, atEmpty, size, known.Seconds())
+		r.Add(unitsBack, atEmpty, size, held.Seconds())
+	}
+	w.recordChange(r, atKill, size)
+}
+
+// kill ends the first VMs at once and returns the times until all others act
+// under an epoch without them, and until these hold all units.
+func (w *world) kill(count int) (known, held time.Duration) {
+	last := w.vms[len(w.vms)-1]
+	before := last.fleet.Fleet().GetEpoch()
+	for _, v := range w.vms[:count] {
+		v.gone = true
+	}
+	began := w.now
+	for held == 0 && w.now-began < killLimit {
 		w.run(tickInterval)
-		if known == 0 && w.entered(before+1) {
+		if known == 0 && w.entered(before+uint64(count)) {
 			known = w.now - began
-			r.Add(epochSlowest, atEmpty, size, known.Seconds())
 		}
 		if known > 0 && w.allHeld() {
-			r.Add(unitsBack, atEmpty, size, (w.now - began).Seconds())
-			break
+			held = w.now - began
 		}
 	}
 	w.run(changeFor)
-	w.recordChange(r, atKill, size)
+	return known, held
+}
+
+// measureKills ends several VMs of a group at once, as the loss of a failure
+// domain does.
+func measureKills(r *Recorder, members int, killed []int) error {
+	for _, k := range killed {
+		w, err := newLimitedFleet(members, limitsToday, false)
+		if err != nil {
+			return err
+		}
+		w.run(warmUp)
+		w.counts = counts{}
+		at := fmt.Sprintf(groupAt, members)
+		if known, held := w.kill(k); held > 0 {
+			r.Add(killKnown, at, float64(k), known.Seconds())
+			r.Add(killHeld, at, float64(k), held.Seconds())
+		}
+		r.Add(killBytes, at, float64(k), w.epochBytes+w.bytes[partQuota])
+		r.Add(killWrites, at, float64(k), w.rowWrites+w.leaseWrites)
+		r.Add(killReads, at, float64(k), w.reads[partFleet])
+	}
+	return nil
 }
 
 func (w *world) recordChange(r *Recorder, at string, size float64) {
--- a/measure/capacity/run.go
+++ b/measure/capacity/run.go
@@ -7,6 +7,8 @@
 // Sizes are the sizes at which Run measures.
 type Sizes struct {
 	Members, EpochMembers, Restful, Spreading []int
+	KillMembers                               int
+	Killed                                    []int
 	QuotaMembers, Limits                      []int
 	SpreadVMs, Files                          []int
 	FileBytes                                 int
@@ -22,6 +24,7 @@
 	return Sizes{
 		Members: []int{4, 11, 16, 64}, EpochMembers: []int{11, 64, 1024, 4100},
 		Restful: []int{11, 32, 64}, Spreading: []int{11, 64, 256, 1024},
+		KillMembers: 16, Killed: []int{1, 2, 4, 6},
 		QuotaMembers: []int{4, 11, 64}, Limits: []int{8, 64, 512},
 		SpreadVMs: []int{4, 11, 64, 128, 256, 1024}, Files: []int{98, 1000, 4000}, FileBytes: 10_000,
 		Totals: []int{100_000, 300_000, 980_000}, ChangedFile: []int{100, 1000, 10_000}, Changed: []int{1, 100, 10_000},
@@ -49,6 +52,7 @@
 		func() error { return measureConnections(r, s.Connections) },
 		func() error { return measurePolling(r, s.Servers) },
 		func() error { return measureLease(r, s.Members) },
+		func() error { return measureKills(r, s.KillMembers, s.Killed) },
 		func() error { return measureEpochSize(r, s.EpochMembers) },
 		func() error {
 			measureMembership(r, s.Restful, atRest, func(n int) time.Duration {
