--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -97,9 +98,11 @@
 
 	// leaseUntil is in nanoseconds after base.
 	leaseUntil atomic.Int64
-	left       atomic.Bool
-	policy     atomic.Pointer[policy.Policy]
-	compile    chan struct{}
+	// leaseWall is the same in Unix nanoseconds.
+	leaseWall atomic.Int64
+	left      atomic.Bool
+	policy    atomic.Pointer[policy.Policy]
+	compile   chan struct{}
 	// compiler belongs to the goroutine of runCompiler.
 	compiler policy.Compiler
 	onPolicy []func(*policy.Policy)
@@ -280,7 +283,7 @@
 	defer c.mu.Unlock()
 	machine := c.fleet
 	out := f(machine)
-	c.leaseUntil.Store(int64(machine.LeaseUntil().Sub(c.base)))
+	c.setLease(machine.LeaseUntil())
 	if out.EpochChanged || out.Evicted {
 		out.Sends = append(c.enterEpoch(now, machine.Fleet()), out.Sends...)
 	}
@@ -301,6 +304,17 @@
 	return out.Sends
 }
 
+// setLease publishes the end of the lease; the zero time means that there is
+// none.
+func (c *Control) setLease(until time.Time) {
+	if until.IsZero() {
+		c.leaseUntil.Store(math.MinInt64)
+		return
+	}
+	c.leaseWall.Store(until.UnixNano())
+	c.leaseUntil.Store(int64(until.Sub(c.base)))
+}
+
 func hasHeartbeat(sends []outbox.Send) bool {
 	for _, s := range sends {
 		if _, ok := s.Message.GetKind().(*peerv1.Message_Heartbeat); ok {
@@ -324,7 +338,7 @@
 	}
 	c.setSeeds(now)
 	c.info.Hints = nil
-	c.leaseUntil.Store(0)
+	c.setLease(time.Time{})
 }
 
 // enterEpoch needs mu.
