--- a/measure/trafficsim/backend.go
+++ b/measure/trafficsim/backend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 // fault is the way in which a backend server misbehaves.
@@ -39,7 +40,7 @@
 // beyond which it sheds.
 type backend struct {
 	declared balance.Server
-	clock    *clock
+	clock    *virtual.Clock
 	rnd      *rand.Rand
 	fault    fault
 	leaving  bool
@@ -54,7 +55,7 @@
 // receive takes a request that has arrived over the network.
 func (b *backend) receive(j job) {
 	b.received++
-	b.lastWork = b.clock.now
+	b.lastWork = b.clock.Now
 	switch {
 	case b.fault == faultSilent:
 		b.stuck++
@@ -69,7 +70,7 @@
 
 func (b *backend) start(j job) {
 	b.running++
-	b.clock.after(b.serviceTime(), func() {
+	b.clock.After(b.serviceTime(), func() {
 		b.running--
 		if b.fault == faultSilent {
 			return
@@ -100,7 +101,7 @@
 	if b.mute {
 		return balance.Report{}, false
 	}
-	r := balance.Report{At: b.clock.now, Slots: b.declared.Slots, InFlight: b.running + len(b.queue) + b.stuck}
+	r := balance.Report{At: b.clock.Now, Slots: b.declared.Slots, InFlight: b.running + len(b.queue) + b.stuck}
 	if b.fault == faultLying || b.fault == faultSilent {
 		r.InFlight = 0
 	}
--- a/measure/trafficsim/bench_test.go
+++ b/measure/trafficsim/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/cassiawind/cassiawind/core/admission"
 	"github.com/cassiawind/cassiawind/core/balance"
 	"github.com/cassiawind/cassiawind/core/routing"
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 // BenchmarkRequest measures all decisions for one forwarded request: region, slot
@@ -21,9 +22,9 @@
 				regions.SetVMs(vms)
 				scheduler := admission.New(admission.Config{Slots: 16})
 				balancer := balance.New(balance.Config{}, rand.New(rand.NewPCG(1, 1)))
-				balancer.SetServers(epoch, d.servers(), vms)
+				balancer.SetServers(virtual.Epoch, d.servers(), vms)
 				take := func(string) bool { return true }
-				now := epoch
+				now := virtual.Epoch
 				b.ReportAllocs()
 				for i := range b.N {
 					now = now.Add(100 * time.Microsecond)
--- a/measure/trafficsim/bucket.go
+++ b/measure/trafficsim/bucket.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 // bucket is a token bucket. It stands for a quota limit whose units are held
@@ -12,7 +14,7 @@
 }
 
 func newBucket(rate, burst float64) *bucket {
-	return &bucket{rate: rate, burst: burst, tokens: burst, at: epoch}
+	return &bucket{rate: rate, burst: burst, tokens: burst, at: virtual.Epoch}
 }
 
 func (b *bucket) take(now time.Time) bool {
--- a/measure/trafficsim/calendar.go
+++ b/measure/trafficsim/calendar.go
@@ -54,16 +54,16 @@
 func runPeak(d Deployment, p policy, seed uint64) peakResult {
 	f := newFleet(d, p, peakLoad, seed)
 	f.limitSlots(true)
-	f.runUntil(faultsAt)
+	f.RunUntil(faultsAt)
 	f.order[0].fault = faultSlow
 	f.order[1].fault = faultLying
 	f.order[2].fault = faultSilent
 	f.measuring = true
-	f.runUntil(measureFrom)
+	f.RunUntil(measureFrom)
 	r := peakResult{onset: f.percentile(99)}
 	f.latency.Reset()
 	f.sent, f.failed = 0, 0
-	f.runUntil(peakEnd)
+	f.RunUntil(peakEnd)
 	r.p50, r.p99 = f.percentile(50), f.percentile(99)
 	r.failed = float64(f.failed) / float64(f.sent)
 	return r
--- a/measure/trafficsim/fairness.go
+++ b/measure/trafficsim/fairness.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/cassiawind/cassiawind/core/admission"
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 const (
@@ -49,7 +50,7 @@
 
 // fairFleet models the admission at the entry VMs of one service.
 type fairFleet struct {
-	*clock
+	*virtual.Clock
 	rnd       *rand.Rand
 	accounts  []fairAccount
 	waits     *hdrhistogram.Histogram // microseconds, accounts within their rate
@@ -111,7 +112,7 @@
 
 func runFairness(d Deployment, seed uint64, build func(slots int) scheduler) *fairFleet {
 	f := &fairFleet{
-		clock: newClock(), rnd: rand.New(rand.NewPCG(seed, 0)), pending: map[uint64]*pendingRequest{},
+		Clock: virtual.New(), rnd: rand.New(rand.NewPCG(seed, 0)), pending: map[uint64]*pendingRequest{},
 		waits:   hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		giveUps: hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 	}
@@ -126,20 +127,20 @@
 		for i, a := range f.accounts {
 			f.arrivals(s, i, rateLoad*float64(slots)/serviceMean.Seconds()*a.demand/weights)
 		}
-		f.every(expireEvery, expireEvery, func() {
-			for _, e := range s.Expire(f.now) {
+		f.Every(expireEvery, expireEvery, func() {
+			for _, e := range s.Expire(f.Now) {
 				f.rejected(e.ID)
 			}
 		})
 	}
-	f.runUntil(fairnessFrom)
+	f.RunUntil(fairnessFrom)
 	f.measuring = true
-	f.runUntil(fairnessEnd)
+	f.RunUntil(fairnessEnd)
 	return f
 }
 
 func (f *fairFleet) arrivals(s scheduler, account int, rate float64) {
-	f.after(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
+	f.After(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
 		f.offer(s, account)
 		f.arrivals(s, account, rate)
 	})
@@ -148,7 +149,7 @@
 func (f *fairFleet) offer(s scheduler, account int) {
 	f.nextID++
 	id := f.nextID
-	f.pending[id] = &pendingRequest{account: account, at: f.now, measured: f.measuring}
+	f.pending[id] = &pendingRequest{account: account, at: f.Now, measured: f.measuring}
 	if f.measuring {
 		f.accounts[account].offered++
 	}
@@ -156,9 +157,9 @@
 	if f.rnd.Float64() < bookingPart {
 		class = admission.Booking
 	}
-	decision := s.Offer(f.now, admission.Request{
+	decision := s.Offer(f.Now, admission.Request{
 		ID: id, Account: accountName(account), Weight: f.accounts[account].weight,
-		Class: class, Deadline: f.now.Add(requestDeadline),
+		Class: class, Deadline: f.Now.Add(requestDeadline),
 	})
 	if decision.Displaced != nil {
 		f.rejected(decision.Displaced.ID)
@@ -177,17 +178,17 @@
 	p := f.pending[id]
 	delete(f.pending, id)
 	if p.measured && p.account != neighbour {
-		_ = f.waits.RecordValue(int64(f.now.Sub(p.at) / time.Microsecond))
+		_ = f.waits.RecordValue(int64(f.Now.Sub(p.at) / time.Microsecond))
 	}
 	t := time.Duration(float64(serviceMean) * math.Exp(f.rnd.NormFloat64()*serviceSpread-serviceSpread*serviceSpread/2))
-	f.after(t, func() {
+	f.After(t, func() {
 		if f.measuring {
 			f.busy += t
 		}
-		if p.measured && f.now.Sub(p.at) <= requestDeadline {
+		if p.measured && f.Now.Sub(p.at) <= requestDeadline {
 			f.accounts[p.account].served++
 		}
-		for _, next := range s.Release(f.now, id) {
+		for _, next := range s.Release(f.Now, id) {
 			f.run(s, next)
 		}
 	})
@@ -197,7 +198,7 @@
 	p := f.pending[id]
 	delete(f.pending, id)
 	if p.measured {
-		_ = f.giveUps.RecordValue(int64(f.now.Sub(p.at) / time.Microsecond))
+		_ = f.giveUps.RecordValue(int64(f.Now.Sub(p.at) / time.Microsecond))
 	}
 }
 
--- a/measure/trafficsim/fleet.go
+++ b/measure/trafficsim/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/cassiawind/cassiawind/core/admission"
 	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 const (
@@ -39,7 +40,7 @@
 // fleet models the entry VMs and backend servers of one service. Lookups go to
 // servers of the VM's own region.
 type fleet struct {
-	*clock
+	*virtual.Clock
 	d        Deployment
 	rnd      *rand.Rand
 	backends map[string]*backend
@@ -67,7 +68,7 @@
 // newFleet builds a fleet whose load is the given part of each region's slots.
 func newFleet(d Deployment, p policy, load float64, seed uint64) *fleet {
 	f := &fleet{
-		clock: newClock(), d: d, rnd: rand.New(rand.NewPCG(seed, 0)),
+		Clock: virtual.New(), d: d, rnd: rand.New(rand.NewPCG(seed, 0)),
 		backends: make(map[string]*backend),
 		latency:  hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 	}
@@ -76,7 +77,7 @@
 	}
 	servers := d.servers()
 	for i, s := range servers {
-		b := &backend{declared: s, clock: f.clock, rnd: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
+		b := &backend{declared: s, clock: f.Clock, rnd: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
 		f.backends[s.Name] = b
 		f.order = append(f.order, b)
 	}
@@ -95,9 +96,9 @@
 func (f *fleet) startReports(v *vm, i int) {
 	for j, b := range f.order {
 		offset := time.Duration((i*len(f.order) + j*7) % 100 * int(reportEvery) / 100)
-		f.every(offset, reportEvery, func() {
+		f.Every(offset, reportEvery, func() {
 			if r, ok := b.report(); ok {
-				f.after(f.d.DomainDelay, func() { v.picker.report(f.now, b.declared.Name, r) })
+				f.After(f.d.DomainDelay, func() { v.picker.report(f.Now, b.declared.Name, r) })
 			}
 		})
 	}
@@ -105,12 +106,12 @@
 
 // arrive schedules the next lookup of a VM.
 func (f *fleet) arrive(v *vm) {
-	f.after(time.Duration(f.rnd.ExpFloat64()/v.rate*float64(time.Second)), func() {
+	f.After(time.Duration(f.rnd.ExpFloat64()/v.rate*float64(time.Second)), func() {
 		if f.measuring {
 			f.sent++
 		}
 		f.nextID++
-		l := &lookup{id: f.nextID, start: f.now, measured: f.measuring, account: f.drawAccount()}
+		l := &lookup{id: f.nextID, start: f.Now, measured: f.measuring, account: f.drawAccount()}
 		if l.measured {
 			f.accounts[l.account].offered++
 		}
@@ -140,8 +141,8 @@
 		f.attempt(v, l)
 		return
 	}
-	decision := v.scheduler.Offer(f.now, admission.Request{
-		ID: l.id, Account: accountName(l.account), Weight: f.accounts[l.account].weight, Deadline: f.now.Add(lookupDeadline),
+	decision := v.scheduler.Offer(f.Now, admission.Request{
+		ID: l.id, Account: accountName(l.account), Weight: f.accounts[l.account].weight, Deadline: f.Now.Add(lookupDeadline),
 	})
 	if decision.Displaced != nil {
 		f.giveUp(v, decision.Displaced.ID)
@@ -161,7 +162,7 @@
 	if v.scheduler == nil {
 		return
 	}
-	f.admitted(v, v.scheduler.Release(f.now, l.id))
+	f.admitted(v, v.scheduler.Release(f.Now, l.id))
 }
 
 func (f *fleet) admitted(v *vm, ids []uint64) {
@@ -180,14 +181,14 @@
 		slots, vms := f.d.slotsOf(v.region), f.d.vmsOf(v.region)
 		v.scheduler = admission.New(admission.Config{Slots: slots / vms, ServiceTime: serviceMean})
 		v.waiting = make(map[uint64]*lookup)
-		f.every(expireEvery, expireEvery, func() {
-			for _, e := range v.scheduler.Expire(f.now) {
+		f.Every(expireEvery, expireEvery, func() {
+			for _, e := range v.scheduler.Expire(f.Now) {
 				f.giveUp(v, e.ID)
 			}
 		})
 	}
 	if adaptive {
-		f.every(0, demandEvery, f.shareSlots)
+		f.Every(0, demandEvery, f.shareSlots)
 	}
 }
 
@@ -202,13 +203,13 @@
 func (f *fleet) shareSlots() {
 	all := map[string]float64{}
 	for _, v := range f.vms {
-		all[v.region] += v.scheduler.Demand(f.now)
+		all[v.region] += v.scheduler.Demand(f.Now)
 	}
 	for _, v := range f.vms {
-		part := admission.Part(f.d.slotsOf(v.region), f.d.vmsOf(v.region), v.scheduler.Demand(f.now), all[v.region])
-		f.after(demandLag, func() {
-			v.scheduler.SetSlots(f.now, part)
-			f.admitted(v, v.scheduler.Admit(f.now))
+		part := admission.Part(f.d.slotsOf(v.region), f.d.vmsOf(v.region), v.scheduler.Demand(f.Now), all[v.region])
+		f.After(demandLag, func() {
+			v.scheduler.SetSlots(f.Now, part)
+			f.admitted(v, v.scheduler.Admit(f.Now))
 		})
 	}
 }
@@ -229,28 +230,28 @@
 func (f *fleet) attempt(v *vm, l *lookup) {
 	name, ok := "", false
 	if len(l.tried) < maxAttempts {
-		name, ok = v.picker.pick(f.now, v.region, l.tried)
+		name, ok = v.picker.pick(f.Now, v.region, l.tried)
 	}
 	if !ok {
 		f.exhausted(v, l)
 		return
 	}
 	l.tried = append(l.tried, name)
-	sentAt, settled := f.now, false
+	sentAt, settled := f.Now, false
 	settle := func(c balance.Class) {
 		if settled {
 			return
 		}
 		settled = true
-		v.picker.done(f.now, name, balance.Outcome{Class: c, Latency: f.now.Sub(sentAt)})
+		v.picker.done(f.Now, name, balance.Outcome{Class: c, Latency: f.Now.Sub(sentAt)})
 		f.result(v, l, c)
 	}
-	f.after(f.d.DomainDelay, func() {
+	f.After(f.d.DomainDelay, func() {
 		f.backends[name].receive(job{respond: func(c balance.Class) {
-			f.after(f.d.DomainDelay, func() { settle(c) })
+			f.After(f.d.DomainDelay, func() { settle(c) })
 		}})
 	})
-	f.after(attemptTimeout, func() { settle(balance.ClassTimeout) })
+	f.After(attemptTimeout, func() { settle(balance.ClassTimeout) })
 }
 
 // exhausted ends a round of attempts. A lookup that servers have shed starts
@@ -264,7 +265,7 @@
 	}
 	l.rounds++
 	l.tried, l.shed = l.tried[:0], false
-	f.after(roundPause, func() { f.attempt(v, l) })
+	f.After(roundPause, func() { f.attempt(v, l) })
 }
 
 func (f *fleet) result(v *vm, l *lookup, c balance.Class) {
@@ -272,7 +273,7 @@
 	case c == balance.ClassOK:
 		if l.measured {
 			f.accounts[l.account].served++
-			_ = f.latency.RecordValue(int64(f.now.Sub(l.start) / time.Microsecond))
+			_ = f.latency.RecordValue(int64(f.Now.Sub(l.start) / time.Microsecond))
 		}
 		f.release(v, l)
 	default:
--- a/measure/trafficsim/killed.go
+++ b/measure/trafficsim/killed.go
@@ -25,15 +25,15 @@
 		demand[r] = failureDemand
 	}
 	f := newRegionFleet(d, demand, seed, newRegionsChooser)
-	f.runUntil(killedAt)
+	f.RunUntil(killedAt)
 	f.accounts, f.shifted = newAccounts(d), 0
 	f.vms[0].dead = true
-	f.runUntil(replacedAt)
+	f.RunUntil(replacedAt)
 	killed, shifted := f.refused(), float64(f.shifted)/float64(f.offered())
 	f.accounts = newAccounts(d)
 	f.vms[0] = &regionVM{region: f.vms[0].region, chooser: newRegionsChooser(f, f.vms[0].region)}
 	f.vms[0].chooser.vms(len(f.vms))
-	f.runUntil(killedEnd)
+	f.RunUntil(killedEnd)
 	figure := func(name string, target Target, value float64) Figure {
 		return Figure{Experiment: experimentKilled + separator + d.Name, Seed: seed, Name: name, Unit: unitPartOfAsked, Value: value, Target: target}
 	}
--- a/measure/trafficsim/leaving.go
+++ b/measure/trafficsim/leaving.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 const (
@@ -30,9 +32,9 @@
 
 func runLeaving(d Deployment, p policy, mute bool, seed uint64) float64 {
 	f := newFleet(d, p, peakLoad, seed)
-	f.runUntil(leavesAt)
+	f.RunUntil(leavesAt)
 	b := f.order[0]
 	b.leaving, b.mute = !mute, mute
-	f.runUntil(leavingEnd)
-	return b.lastWork.Sub(epoch.Add(leavesAt)).Seconds()
+	f.RunUntil(leavingEnd)
+	return b.lastWork.Sub(virtual.Epoch.Add(leavesAt)).Seconds()
 }
--- a/measure/trafficsim/outage.go
+++ b/measure/trafficsim/outage.go
@@ -16,11 +16,11 @@
 	run := func(p policy, mute func(i int) bool) *fleet {
 		f := newFleet(d, p, peakLoad, seed)
 		f.limitSlots(true)
-		f.runUntil(faultsAt)
+		f.RunUntil(faultsAt)
 		for i, b := range f.order {
 			b.mute = mute(i)
 		}
-		f.runUntil(measureFrom)
+		f.RunUntil(measureFrom)
 		for _, b := range f.order {
 			b.received = 0
 		}
--- a/measure/trafficsim/picker.go
+++ b/measure/trafficsim/picker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 // picker chooses backend servers for one VM.
@@ -47,7 +48,7 @@
 
 func newBalancePicker(servers []balance.Server, entryVMs int, rnd *rand.Rand) picker {
 	b := balance.New(balance.Config{}, rnd)
-	b.SetServers(epoch, servers, entryVMs)
+	b.SetServers(virtual.Epoch, servers, entryVMs)
 	return balancePicker{b}
 }
 
--- a/measure/trafficsim/regions.go
+++ b/measure/trafficsim/regions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/routing"
+	"github.com/cassiawind/cassiawind/measure/virtual"
 )
 
 const (
@@ -36,7 +37,7 @@
 // regionFleet models the callers, entry VMs and regions of a deployment. Each
 // region has a cap that is a token bucket over all VMs.
 type regionFleet struct {
-	*clock
+	*virtual.Clock
 	d        Deployment
 	rnd      *rand.Rand
 	caps     map[string]*bucket
@@ -70,7 +71,7 @@
 // region's cap.
 func newRegionFleet(d Deployment, demand map[string]float64, seed uint64, build func(*regionFleet, string) regionChooser) *regionFleet {
 	f := &regionFleet{
-		clock: newClock(), d: d, rnd: rand.New(rand.NewPCG(seed, 0)),
+		Clock: virtual.New(), d: d, rnd: rand.New(rand.NewPCG(seed, 0)),
 		caps: map[string]*bucket{}, audits: map[string]*audit{}, inFlight: map[string]int{},
 		history: map[string][]float64{}, accounts: newAccounts(d),
 		shiftedTo: map[string]int{}, shifts: map[string][]float64{},
@@ -78,7 +79,7 @@
 	for _, r := range d.Regions {
 		rate := d.capOf(r)
 		f.caps[r] = newBucket(rate, rate*burstSeconds)
-		f.audits[r] = &audit{rate: rate, burst: rate * burstSeconds, at: epoch}
+		f.audits[r] = &audit{rate: rate, burst: rate * burstSeconds, at: virtual.Epoch}
 	}
 	for i := range d.EntryVMs {
 		region := d.regionOf(i)
@@ -90,7 +91,7 @@
 	for _, r := range d.Regions {
 		f.callers(r, demand[r]*d.capOf(r))
 	}
-	f.every(time.Second, time.Second, f.second)
+	f.Every(time.Second, time.Second, f.second)
 	return f
 }
 
@@ -98,7 +99,7 @@
 
 // callers schedules the requests of the callers of one region.
 func (f *regionFleet) callers(region string, rate float64) {
-	f.after(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
+	f.After(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
 		f.request(region)
 		f.callers(region, rate)
 	})
@@ -120,7 +121,7 @@
 	a := f.account()
 	a.offered++
 	v := f.entryVM(region)
-	to, ok := v.chooser.choose(f.now, v.region, region)
+	to, ok := v.chooser.choose(f.Now, v.region, region)
 	if !ok {
 		a.refused++
 		return
@@ -129,11 +130,11 @@
 		f.shifted++
 		f.shiftedTo[to]++
 	}
-	f.audits[to].add(f.now)
+	f.audits[to].add(f.Now)
 	f.inFlight[to]++
-	f.after(serviceMean, func() {
+	f.After(serviceMean, func() {
 		f.inFlight[to]--
-		v.chooser.done(f.now, to)
+		v.chooser.done(f.Now, to)
 	})
 }
 
@@ -160,13 +161,13 @@
 	for _, r := range f.d.Regions {
 		a := f.audits[r]
 		f.history[r] = append(f.history[r], float64(a.count))
-		m := routing.Measurement{At: f.now, RatePerSecond: float64(a.count), InFlight: f.inFlight[r], Slots: f.d.slotsOf(r)}
+		m := routing.Measurement{At: f.Now, RatePerSecond: float64(a.count), InFlight: f.inFlight[r], Slots: f.d.slotsOf(r)}
 		a.count = 0
 		f.shifts[r] = append(f.shifts[r], float64(f.shiftedTo[r]))
 		f.shiftedTo[r] = 0
-		f.after(measureLag, func() {
+		f.After(measureLag, func() {
 			for _, v := range f.vms {
-				v.chooser.measure(f.now, r, m)
+				v.chooser.measure(f.Now, r, m)
 			}
 		})
 	}
@@ -181,7 +182,7 @@
 			alive++
 		}
 	}
-	f.after(noticeFailure, func() {
+	f.After(noticeFailure, func() {
 		for _, v := range f.vms {
 			v.chooser.failed(region)
 			v.chooser.vms(alive)
--- a/measure/trafficsim/shift.go
+++ b/measure/trafficsim/shift.go
@@ -58,13 +58,13 @@
 		demand[r] = failureDemand
 	}
 	f := newRegionFleet(d, demand, seed, build)
-	f.runUntil(failsAt)
+	f.RunUntil(failsAt)
 	f.accounts = newAccounts(d)
 	f.fail(d.Regions[0])
-	f.runUntil(settledAt)
+	f.RunUntil(settledAt)
 	shift := f.accounts
 	f.accounts = newAccounts(d)
-	f.runUntil(failureEnd)
+	f.RunUntil(failureEnd)
 	settled := f.refused()
 	f.accounts = shift
 	return f, settled
@@ -118,8 +118,8 @@
 func runStale(d Deployment, seed uint64, build func(*regionFleet, string) regionChooser) *regionFleet {
 	demand := map[string]float64{d.Regions[0]: staleHighDemand, d.Regions[1]: staleHighDemand, d.Regions[2]: staleOtherDemand}
 	f := newRegionFleet(d, demand, seed, build)
-	f.runUntil(failsAt)
+	f.RunUntil(failsAt)
 	f.accounts = newAccounts(d)
-	f.runUntil(staleEnd)
+	f.RunUntil(staleEnd)
 	return f
 }
--- a/measure/trafficsim/slots.go
+++ b/measure/trafficsim/slots.go
@@ -64,9 +64,9 @@
 
 // measure runs the fleet and measures between two times.
 func (f *fleet) measure(from, to time.Duration) *fleet {
-	f.runUntil(from)
+	f.RunUntil(from)
 	f.measuring = true
-	f.runUntil(to)
+	f.RunUntil(to)
 	return f
 }
 
