measure/bookingsim: bookings with faults, repeats and lost answers

Second executions and false not-run answers were checked step by step only, not over a fleet with callers that repeat a booking elsewhere.

--- a/measure/cmd/measure/main.go
+++ b/measure/cmd/measure/main.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/cassiawind/cassiawind/measure"
+	"github.com/cassiawind/cassiawind/measure/bookingsim"
+	"github.com/cassiawind/cassiawind/measure/fleetsim"
 	"github.com/cassiawind/cassiawind/measure/quotasim"
 	"github.com/cassiawind/cassiawind/measure/trafficsim"
 )
@@ -21,6 +23,8 @@
 	return slices.Concat(
 		quotasim.Experiments(),
 		trafficsim.Experiments(),
+		fleetsim.Experiments(),
+		bookingsim.Experiments(),
 	)
 }
 
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -21,8 +21,9 @@
 	Unit       string  `json:"unit"`
 	Value      float64 `json:"value"`
 	// Target is the bound from the design page; nil if it sets none.
-	Target  *float64 `json:"target,omitempty"`
-	Compare Compare  `json:"compare,omitempty"`
+	Target *float64 `json:"target,omitempty"`
+	// Compare is set without a target if a higher value is better.
+	Compare Compare `json:"compare,omitempty"`
 	// Met is nil if there is no target.
 	Met *bool `json:"met,omitempty"`
 	// Baseline is the value of the baseline in the same run.
@@ -56,6 +57,13 @@
 	return f
 }
 
+// HigherIsBetter returns a figure without a target whose worst value is the
+// lowest one.
+func (f Figure) HigherIsBetter() Figure {
+	f.Compare = AtLeast
+	return f
+}
+
 // WithBaseline returns the figure with the baseline's value.
 func (f Figure) WithBaseline(value float64) Figure {
 	f.Baseline = &value
