measure/configsim: time until a withdrawn key is without effect

The propagation figures of core/configsync covered an undisturbed fleet only. The new package adds a store that goes down as soon as one VM has seen the change, a VM that is cut off and returns, and operators that publish at once while writes are lost or late; it checks every installation for a reverted version.

--- a/measure/cmd/measure/main.go
+++ b/measure/cmd/measure/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassiawind/cassiawind/measure"
 	"github.com/cassiawind/cassiawind/measure/bookingsim"
+	"github.com/cassiawind/cassiawind/measure/configsim"
 	"github.com/cassiawind/cassiawind/measure/fleetsim"
 	"github.com/cassiawind/cassiawind/measure/quotasim"
 	"github.com/cassiawind/cassiawind/measure/trafficsim"
@@ -25,6 +26,7 @@
 		trafficsim.Experiments(),
 		fleetsim.Experiments(),
 		bookingsim.Experiments(),
+		configsim.Experiments(),
 	)
 }
 
