measure/fleetsim, measure/configsim: traffic and delays that show unsafe steps

An account now sends twice its rate, a resumed VM handles waiting requests before messages, and 20% of the messages and answers to VMs are up to 2 s late while operators race.

--- a/measure/configsim/experiments.go
+++ b/measure/configsim/experiments.go
@@ -31,6 +31,7 @@
 	racers     = 3
 	// writeFaultPart of the writes of a race has each kind of fault.
 	writeFaultPart = 0.1
+	latePart       = 0.2
 	lateBy         = 2 * time.Second
 	maxPhase       = time.Second
 )
@@ -90,9 +91,9 @@
 }
 
 // race lets operators publish at about the same time while writes are lost or
-// late.
+// late, and messages and answers to VMs are late.
 func race(w *world, turn int) {
-	w.table.Late = lateBy
+	w.table.Late, w.latePart = lateBy, latePart
 	w.table.Fault = func(op tableop.Op) virtual.Fault {
 		kinds := []virtual.Fault{virtual.LostAnswer, virtual.LostCall, virtual.LateCall}
 		if i := int(w.rnd.Float64() / writeFaultPart); i < len(kinds) && len(op.Writes) > 0 {
--- a/measure/configsim/world.go
+++ b/measure/configsim/world.go
@@ -49,6 +49,8 @@
 	table   virtual.Table
 	objects map[string][]byte
 	vms     []*vm
+	// latePart of the messages and answers takes up to lateBy longer.
+	latePart float64
 	// pollOnly is the baseline: heartbeats do not carry the version.
 	pollOnly bool
 
@@ -142,9 +144,11 @@
 func (w *world) tick(v *vm) {
 	for _, op := range v.store.Tick(w.Now, len(w.vms)) {
 		w.table.Call(w.d.StoreDelay(v.index), func() bool { return v.cut }, op, func(r tableop.Result) {
-			if name, fetch := v.store.TableResult(w.Now, r); fetch {
-				w.fetch(v, name)
-			}
+			w.After(w.lateness(), func() {
+				if name, fetch := v.store.TableResult(w.Now, r); fetch {
+					w.fetch(v, name)
+				}
+			})
 		})
 	}
 }
@@ -167,6 +171,13 @@
 	})
 }
 
+func (w *world) lateness() time.Duration {
+	if w.latePart == 0 || w.rnd.Float64() >= w.latePart {
+		return 0
+	}
+	return w.phase(lateBy)
+}
+
 func (w *world) heartbeat(v *vm) {
 	if w.pollOnly {
 		return
@@ -179,7 +190,7 @@
 }
 
 func (w *world) deliver(from, to *vm, arrive func()) {
-	w.After(w.d.Delay(from.index, to.index), func() {
+	w.After(w.d.Delay(from.index, to.index)+w.lateness(), func() {
 		if !from.cut && !to.cut {
 			arrive()
 		}
--- a/measure/fleetsim/traffic.go
+++ b/measure/fleetsim/traffic.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// load is the part of its rate that each account sends.
-	load = 0.8
+	// load is the part of its rate that an account within its rate sends, and
+	// flood what another one sends, so that all of its tokens are used.
+	load  = 0.8
+	flood = 2
 	// callerPatience is the time after which a caller of a silent VM uses the
 	// next one.
 	callerPatience = time.Second
@@ -19,6 +21,7 @@
 // account is a client account whose callers are spread evenly over the VMs.
 type account struct {
 	limit quota.Limit
+	load  float64
 	due   bucket // a request beyond it is not within the rate
 	bound bucket // reference bucket over all VMs: never below 0
 	tally tally
@@ -39,16 +42,17 @@
 	waits   bool // Take was called
 }
 
-// newAccounts returns a large, a middle and a small account.
+// newAccounts returns a large, a middle and a small account within their rates,
+// and one that exceeds its rate.
 func newAccounts() []*account {
 	var out []*account
 	for _, a := range []struct {
-		name        string
-		rate, burst float64
-	}{{"a", 600, 300}, {"b", 100, 100}, {"c", 30, 30}} {
+		name              string
+		rate, burst, load float64
+	}{{"a", 600, 300, load}, {"b", 100, 100, load}, {"c", 30, 30, load}, {"d", 100, 100, flood}} {
 		out = append(out, &account{
-			limit: quota.Limit{Name: quota.AccountLimit(a.name), RatePerSecond: a.rate, Burst: a.burst},
-			due:   newBucket(a.rate, a.burst), bound: newBucket(a.rate, a.burst),
+			limit: quota.Limit{Name: quota.AccountLimit(a.name), RatePerSecond: a.rate, Burst: a.burst}, load: a.load,
+			due: newBucket(a.rate, a.burst), bound: newBucket(a.rate, a.burst),
 		})
 	}
 	return out
@@ -78,9 +82,9 @@
 // arrive plans the next request of an account.
 func (w *world) arrive(i int) {
 	a := w.accounts[i]
-	gap := w.rnd.ExpFloat64() / (a.limit.RatePerSecond * load)
+	gap := w.rnd.ExpFloat64() / (a.limit.RatePerSecond * a.load)
 	w.After(time.Duration(gap*float64(time.Second)), func() {
-		r := &request{account: i, at: w.Now, due: a.due.take(w.Now, 0)}
+		r := &request{account: i, at: w.Now, due: a.load <= 1 && a.due.take(w.Now, 0)}
 		if r.due {
 			a.tally.due++
 		}
@@ -90,7 +94,8 @@
 }
 
 // route sends a request to a VM. A caller of a VM that refuses the connection
-// uses the next one at once, of a silent one after callerPatience.
+// uses the next one at once, of a silent one after callerPatience. A VM that
+// resumes finds the requests whose callers still wait.
 func (w *world) route(at int, r *request) {
 	v := w.vms[at]
 	next := (at + 1) % len(w.vms)
@@ -98,9 +103,20 @@
 	case v.dead:
 		w.route(next, r)
 	case v.paused:
+		taken, gone := false, false
+		v.requests = append(v.requests, func() {
+			taken = !gone
+			if taken {
+				r.at = w.Now
+				w.route(at, r)
+			}
+		})
 		w.After(callerPatience, func() {
-			r.at = w.Now
-			w.route(next, r)
+			gone = !taken
+			if gone {
+				r.at = w.Now
+				w.route(next, r)
+			}
 		})
 	default:
 		w.baseline(v, r)
--- a/measure/fleetsim/world.go
+++ b/measure/fleetsim/world.go
@@ -41,6 +41,7 @@
 	// cut VMs reach each other, but neither the others nor the store.
 	dead, paused, cut bool
 	inbox             []func()
+	requests          []func() // that arrived during the pause
 	waiting           []*request
 	wakeAt            time.Time // next planned retry
 	// static are the shares of the baseline, by account.
@@ -101,10 +102,12 @@
 	}
 }
 
+// resume handles the waiting requests before the messages, which would tell the
+// VM that it was evicted.
 func (w *world) resume(v *vm) {
 	v.paused = false
-	inbox := v.inbox
-	v.inbox = nil
+	inbox := append(v.requests, v.inbox...)
+	v.requests, v.inbox = nil, nil
 	for _, step := range inbox {
 		step()
 	}
