--- a/measure/capacity/capacity_test.go
+++ b/measure/capacity/capacity_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 )
 
 func line(points ...[2]float64) []Point {
@@ -64,6 +67,19 @@
 	assert.Positive(t, values[unitsBack])
 }
 
+// Guards against a size of a batch that differs from that of its encoding.
+func TestBatchSize(t *testing.T) {
+	w := newWorld(2, 1)
+	from, to := w.vms[0], w.vms[1]
+	messages := []*peerv1.Message{heartbeat(3), heartbeat(200)}
+	w.batch(from, to, messages)
+	encoded, err := proto.Marshal(&peerv1.Batch{
+		From: from.member, ToVm: to.member.Vm, ToIncarnation: to.member.Incarnation, Messages: messages,
+	})
+	require.NoError(t, err)
+	assert.InDelta(t, len(encoded), w.bytes[partFleet]+w.framing, 0)
+}
+
 // Guards against bookings that are made with other than a claim and an outcome,
 // and against records that are not batched under load.
 func TestRecordsOfBookings(t *testing.T) {
