core/quota: a VM that joins gets an equal part of what is not needed

Cause: all units of a new fleet went to its first VM and stayed there until others asked, so that its failure stopped every idle account for 2 s. Change: each member gives the joined one 1/n of its units beyond its demand.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -375,3 +375,18 @@
 		})
 	})
 }
+
+// Guards against all idle units staying with the first VM of a fleet, whose
+// failure would then stop every account.
+func TestJoinedVMGetsIdleUnits(t *testing.T) {
+	n := settled(t, 1, large)
+	first := n.nodes[0]
+	joined := n.start()
+	f := n.write(first)
+	f.Joined = memberOf(f, "vm01")
+	n.enter(first, f)
+	n.enter(joined, f)
+	n.run(time.Second)
+	require.EqualValues(t, TotalUnits/2, first.m.limits[testLimit].units)
+	require.EqualValues(t, TotalUnits/2, joined.m.limits[testLimit].units)
+}
--- a/core/quota/reconcile.go
+++ b/core/quota/reconcile.go
@@ -68,7 +68,28 @@
 	if m.reconciler() == m.self {
 		sends = m.openRound(now, nil)
 	}
-	return append(sends, m.replayEarly(now)...)
+	sends = append(sends, m.replayEarly(now)...)
+	return append(sends, m.shareWithJoined(now, f)...)
+}
+
+// shareWithJoined gives the member that the epoch adds an equal part of what is
+// not needed here. Otherwise all units would stay with the first VM of a fleet
+// until others ask for them, and its failure would stop every account.
+func (m *Manager) shareWithJoined(now time.Time, f *peerv1.Fleet) []Send {
+	p := m.peer(f.GetJoined().GetVm())
+	if p < 0 {
+		return nil
+	}
+	var sends []Send
+	for _, s := range m.order {
+		s.refill(now)
+		spare := s.spareUnits(now, &peerv1.QuotaRequest{})
+		units := spare / uint32(len(f.GetMembers()))
+		if s.configured && !s.small && units >= s.minMove() {
+			sends = append(sends, m.transfer(now, s, p, units, s.tokens*float64(units)/float64(s.units)))
+		}
+	}
+	return sends
 }
 
 func memberOf(f *peerv1.Fleet, vm string) *peerv1.Member {
