--- a/core/quota/manager.go
+++ b/core/quota/manager.go
@@ -14,7 +14,8 @@
 type Send = outbox.Send
 
 const (
-	// MaxWait is how long a request may wait for units.
+	// MaxWait is how long a request may wait for units: two round trips
+	// between regions of 110 ms, with a margin.
 	MaxWait = 250 * time.Millisecond
 	// removedMemory is how long units of a removed limit are kept, so that a
 	// limit removed by mistake is served again at once when it returns.
--- a/entry/forward/limits.go
+++ b/entry/forward/limits.go
@@ -12,10 +12,6 @@
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
 
-// maxUnitsWait is the longest time a request waits for quota units of a peer:
-// two round trips between regions of 110 ms, with a margin.
-const maxUnitsWait = 250 * time.Millisecond
-
 func leaseExpired() *problem.Rejection {
 	return problem.New(problem.CodeLeaseExpired, http.StatusServiceUnavailable, "this entry VM has no valid lease; look up another").After(time.Second)
 }
@@ -49,7 +45,7 @@
 // calls if that is worthwhile. The lease is checked at each call, since
 // admissions count only under a valid lease.
 func (h *Handler) takeOrWait(ctx context.Context, c *call, take func(now time.Time, ask askFunc) quota.Decision) *problem.Rejection {
-	giveUp := time.Now().Add(maxUnitsWait)
+	giveUp := time.Now().Add(quota.MaxWait)
 	if c.deadline.Before(giveUp) {
 		giveUp = c.deadline
 	}
--- a/entry/locate/snapshot.go
+++ b/entry/locate/snapshot.go
@@ -12,7 +12,7 @@
 )
 
 // snapshotAge is the age at which what is known of the entry VMs is read again.
-// It is a fifth of a heartbeat interval and so adds little to its delay.
+// It is below the heartbeat interval and so adds little to its delay.
 const snapshotAge = 100 * time.Millisecond
 
 // snapshot is what was known of the entry VMs at one moment. It is safe for
