measure/overhead: lookups of entry VMs beside forwarded requests

Cause: the time of GET /v1/locate over HTTP was not measured. Change: the lookup is a fourth target of the same run.

--- a/measure/overhead/overhead.go
+++ b/measure/overhead/overhead.go
@@ -24,6 +24,7 @@
 	"github.com/cassiawind/cassiawind/core/configsync"
 	"github.com/cassiawind/cassiawind/declare"
 	"github.com/cassiawind/cassiawind/entry/control"
+	"github.com/cassiawind/cassiawind/entry/locate"
 	"github.com/cassiawind/cassiawind/entry/server"
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 	"github.com/cassiawind/cassiawind/platform/memory"
@@ -31,6 +32,8 @@
 
 const (
 	key = "overhead-key"
+	// requestPath is the path of forwarded requests.
+	requestPath = "/lots/7"
 	// readyTimeout bounds the start of the entry process.
 	readyTimeout = 20 * time.Second
 	// idleConns is the number of idle connections that the entry process keeps
@@ -77,7 +80,8 @@
 	n    int
 }
 
-// Run measures a direct connection, the reverse proxy and the entry process.
+// Run measures a direct connection, the reverse proxy, a request forwarded by the
+// entry process and a lookup of entry VMs, in this order.
 func Run(ctx context.Context, c Config) ([]Result, error) {
 	c = c.withDefaults()
 	ctx, cancel := context.WithCancel(ctx)
@@ -94,7 +98,10 @@
 	if err != nil {
 		return nil, err
 	}
-	targets := []*target{newTarget("direct", backend), newTarget("reverse proxy", proxy), newTarget("entry", entry)}
+	targets := []*target{
+		newTarget("direct", backend, requestPath), newTarget("reverse proxy", proxy, requestPath),
+		newTarget("entry", entry, requestPath), newTarget("lookup", entry, locate.Path),
+	}
 	for round := range c.Rounds + 1 {
 		for _, t := range targets {
 			if err := t.round(ctx, c, round > 0); err != nil {
@@ -122,8 +129,8 @@
 	return c
 }
 
-func newTarget(name, address string) *target {
-	return &target{name: name, url: "http://" + address + "/lots/7", hist: hdrhistogram.New(1, maxLatencyMicros, 3)}
+func newTarget(name, address, path string) *target {
+	return &target{name: name, url: "http://" + address + path, hist: hdrhistogram.New(1, maxLatencyMicros, 3)}
 }
 
 // round sends the requests of one round. The first round only warms up.
