entry/service: slots are divided once per interval, not with each report

Cause: each health report walked all backend servers to divide the slots, which the interval of 500 ms does anyway: with n servers, n^2 steps a second. The number of entry VMs was kept although only Configure uses it. Change: reports no longer divide the slots; the field is gone. A server that begins to leave counts as slots for up to 500 ms longer; it gets no new work all the same. Measured: go test ./entry/service ./entry/server passes before and after.

--- a/entry/service/health.go
+++ b/entry/service/health.go
@@ -102,7 +102,6 @@
 	s.balancer.Report(now, server, balance.Report{
 		At: now, State: states[health.State], Slots: health.Slots, InFlight: health.InFlight,
 	})
-	s.updateSlots(now)
 }
 
 // States of a backend server, as it reports them.
--- a/entry/service/service.go
+++ b/entry/service/service.go
@@ -39,7 +39,6 @@
 	servers  []balance.Server
 	// regions are those with a backend server that is not drained.
 	regions map[string]bool
-	vms     int
 	share   Share
 }
 
@@ -56,7 +55,6 @@
 		balancer: balance.New(balance.Config{Service: name}, rand.New(rand.NewPCG(seed, 1))),
 		waiting:  map[uint64]chan result{},
 		observed: map[string]*observation{},
-		vms:      1,
 	}
 }
 
@@ -88,8 +86,7 @@
 			s.regions[b.Region] = true
 		}
 	}
-	s.vms = max(1, entryVMs)
-	s.balancer.SetServers(now, servers, s.vms)
+	s.balancer.SetServers(now, servers, max(1, entryVMs))
 	s.updateSlots(now)
 }
 
