--- a/measure/virtual/clock.go
+++ b/measure/virtual/clock.go
@@ -71,5 +71,8 @@
 	c.Now = Epoch.Add(end)
 }
 
+// RunFor runs all events of the next while.
+func (c *Clock) RunFor(d time.Duration) { c.RunUntil(c.Elapsed() + d) }
+
 // Elapsed returns the virtual time since Epoch.
 func (c *Clock) Elapsed() time.Duration { return c.Now.Sub(Epoch) }
