gateway: the whole path on the users' platform, thin

Cause: the platform has one store, no disks and no VM set aside for control; the entry process waits for leases of a VM quorum before it serves. Change: a new process (cassiawind gateway) with pure decisions in core (catalog, placement, regionflow, ratelimit, retrybudget, exchange), its own HTTP/1.1 ingress that reads ahead, and platform/adapter for the platform's names and formats.

--- /dev/null
+++ b/cassiawind/gateway.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/entry/eventlog"
+	"github.com/cassiawind/cassiawind/entry/gateway"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+// gatewayGCPercent keeps the heap small: memory at its peak is paid for, and
+// the heap of a gateway is a few megabytes, so collections are cheap.
+const gatewayGCPercent = 50
+
+func gatewayCommand() command {
+	sub := newSubcommand("gateway", "steers requests on the users' platform until SIGTERM or SIGINT",
+		adapter.SettingsVariable+"=/etc/cassiawind/local.json cassiawind gateway")
+	var path string
+	sub.String(&path, "", "settings", "settings file of the platform; by default "+adapter.SettingsVariable)
+	return command{sub, func() error {
+		if path == "" {
+			path = os.Getenv(adapter.SettingsVariable)
+		}
+		if path == "" {
+			return errors.Wrap(ErrUsage, "--settings is missing")
+		}
+		settings, err := adapter.LoadSettings(path)
+		if err != nil {
+			return errors.Wrap(ErrUsage, err.Error())
+		}
+		return runGateway(settings)
+	}}
+}
+
+func runGateway(settings adapter.Settings) error {
+	debug.SetGCPercent(gatewayGCPercent)
+	log, flush := eventlog.New(os.Stdout)
+	defer flush()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return gateway.New(settings, log).Run(context.Background(), stop)
+}
--- /dev/null
+++ b/core/placement/picker.go
@@ -0,0 +1,501 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cassiawind/cassiawind/core/steering"
+)
+
+const (
+	// failureCostMS is added for a server all of whose requests fail.
+	failureCostMS = 1500
+	// shedCostMS is added for a server that sheds all requests: the round trip
+	// and the repeat that the budget pays.
+	shedCostMS = 600
+	// queueCost weighs the load below a full server, which spreads requests
+	// before queues form.
+	queueCost = 0.25
+	// extraWorkCost weighs the extra work of a request at a server that is not
+	// warm for its object: it takes the place of other requests.
+	extraWorkCost = 0.5
+	// spillPerRequest is the share of requests that may leave the region that
+	// the flow chose because its servers are full, and spillMax how many may
+	// do so at once. It stays below half of the bound on shifts of 15%.
+	spillPerRequest = 0.05
+	spillMax        = 10
+	// coldOwners share the rate of a cold server.
+	coldOwners = 2
+	// coldShare of the tolerated rate is used; the rest covers VMs that see
+	// other owners for a moment.
+	coldShare = 0.7
+	// defaultRTTMS is assumed to a region that was not measured yet.
+	defaultRTTMS    = 2
+	defaultFarRTTMS = 60
+	// minRetryAfter and maxRetryAfter bound the advice to callers.
+	minRetryAfter = 150 * time.Millisecond
+	maxRetryAfter = time.Second
+)
+
+// patience is how many times its objective a request may be expected to take,
+// by rank. Under overload, the least important requests are rejected first, and
+// those that are accepted are still of use to their callers.
+var patience = []float64{2.2, 1.6, 1.1}
+
+func patienceOf(rank int) float64 {
+	return patience[min(max(rank, 0), len(patience)-1)]
+}
+
+// Request is a request that needs a server.
+type Request struct {
+	Service string
+	// Class names the route; its work is learned from its requests.
+	Class string
+	// Object is the hash of what the request is about; 0 if it is not told or
+	// does not matter.
+	Object uint64
+	Rank   int
+	// Objective is the latency that the caller expects, and Waited how long it
+	// has waited already.
+	Objective, Waited time.Duration
+	// Remaining is the time until the answer is of no use.
+	Remaining time.Duration
+	// Allowed reports whether a region may serve the request.
+	Allowed func(region string) bool
+	// Region is where the flow between regions wants it served.
+	Region string
+	// Tried are the servers that had the request already.
+	Tried []string
+}
+
+// Reason is why a request got no server.
+type Reason string
+
+// Reasons.
+const (
+	// NoServer means that no server of the service may be used.
+	NoServer Reason = "no usable server"
+	// NoTime means that no server would answer in time.
+	NoTime Reason = "no server in time"
+	// Overloaded means that the wait exceeds what the rank allows.
+	Overloaded Reason = "overloaded"
+)
+
+// Choice is the outcome of Pick.
+type Choice struct {
+	// Server is nil if the request is rejected.
+	Server *steering.Server
+	Reason Reason
+	// RetryAfter is when there may be room.
+	RetryAfter time.Duration
+	// Expected is the expected time until the answer, and Warm whether the
+	// server is taken to be warm for the object.
+	Expected time.Duration
+	Warm     bool
+	wait     float64
+}
+
+type group struct {
+	service  *steering.Service
+	servers  []*server
+	byRegion map[string][]*server
+	// waitMS is the mean work of a request, for the wait in queues.
+	meanMS float64
+	spill  float64
+}
+
+// Picker chooses servers for one VM.
+type Picker struct {
+	self, region string
+	coldOver     float64
+	groups       map[string]*group
+	servers      map[string]*server
+	classes      map[string]*class
+	rttMS        map[string]float64
+	vms          []string
+}
+
+// New returns a picker for the VM self in region.
+func New(self, region string) *Picker {
+	return &Picker{
+		self: self, region: region, groups: make(map[string]*group), servers: make(map[string]*server),
+		classes: make(map[string]*class), rttMS: make(map[string]float64),
+	}
+}
+
+// Update takes what the store says about the servers. What is known of a
+// server from requests stays unless it was started anew. It returns the servers
+// that are gone.
+func (p *Picker) Update(now time.Duration, services map[string]*steering.Service, told map[string][]*steering.Server) []*steering.Server {
+	groups := make(map[string]*group, len(services))
+	servers := make(map[string]*server)
+	for name, list := range told {
+		service := services[name]
+		if service == nil {
+			service = &steering.Service{Name: name}
+		}
+		g := &group{service: service, byRegion: make(map[string][]*server), meanMS: 100}
+		if old := p.groups[name]; old != nil {
+			g.meanMS, g.spill = old.meanMS, old.spill
+		}
+		for _, t := range list {
+			s := p.servers[t.ID]
+			if s == nil || s.told.Born != t.Born || s.told.Address != t.Address {
+				inflight := 0
+				if s != nil {
+					inflight = s.inflight
+				}
+				s = newServer(t)
+				s.inflight = inflight
+			}
+			s.told = t
+			s.coldUntil = max(s.coldUntil, t.ColdUntil)
+			servers[t.ID] = s
+			g.servers = append(g.servers, s)
+			g.byRegion[t.Region] = append(g.byRegion[t.Region], s)
+		}
+		slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.told.ID, b.told.ID) })
+		groups[name] = g
+	}
+	var gone []*steering.Server
+	for id, s := range p.servers {
+		if servers[id] != s {
+			gone = append(gone, s.told)
+		}
+	}
+	p.groups, p.servers = groups, servers
+	p.assignCold(now)
+	return gone
+}
+
+// SetVMs replaces the VMs that share the rates of cold servers.
+func (p *Picker) SetVMs(now time.Duration, vms []string) {
+	p.vms = vms
+	p.assignCold(now)
+}
+
+// assignCold decides which cold servers this VM may use and how much.
+func (p *Picker) assignCold(now time.Duration) {
+	for _, g := range p.groups {
+		for _, s := range g.servers {
+			if !s.isCold(now) {
+				continue
+			}
+			p.assignColdServer(now, g, s)
+		}
+	}
+}
+
+func (p *Picker) assignColdServer(now time.Duration, g *group, s *server) {
+	before := 0
+	own := mix(s.hash ^ hashString(p.self))
+	for _, vm := range p.vms {
+		if vm != p.self && mix(s.hash^hashString(vm)) > own {
+			before++
+		}
+	}
+	s.coldOwner = before < coldOwners
+	rate := g.service.ColdPerSecond * coldShare / float64(min(coldOwners, max(1, len(p.vms))))
+	s.cold.Set(now, rate, 1)
+}
+
+// class returns the measured work of a route.
+func (p *Picker) class(r *Request) *class {
+	c := p.classes[r.Class]
+	if c == nil {
+		c = newClass(r.Objective)
+		p.classes[r.Class] = c
+	}
+	return c
+}
+
+// WorkMS returns the expected work of a request of a class, in milliseconds.
+func (p *Picker) WorkMS(r *Request) float64 { return p.class(r).warm }
+
+// Capacity returns the slots of the usable servers of a service by region.
+func (p *Picker) Capacity(now time.Duration, service string) map[string]float64 {
+	g := p.groups[service]
+	if g == nil {
+		return nil
+	}
+	capacity := make(map[string]float64)
+	for _, s := range g.servers {
+		s.fade(now)
+		if !s.suspect && !s.isCold(now) && s.failing < 0.5 {
+			capacity[s.told.Region] += float64(s.told.Slots) / max(1, s.slow)
+		}
+	}
+	return capacity
+}
+
+func (p *Picker) rtt(region string) float64 {
+	if ms, ok := p.rttMS[region]; ok {
+		return ms
+	}
+	if region == p.region {
+		return defaultRTTMS
+	}
+	return defaultFarRTTMS
+}
+
+// Pick chooses a server. The caller must call Started if it uses the choice.
+func (p *Picker) Pick(now time.Duration, r *Request) Choice {
+	g := p.groups[r.Service]
+	if g == nil || len(g.servers) == 0 {
+		return Choice{Reason: NoServer, RetryAfter: maxRetryAfter}
+	}
+	g.spill = min(spillMax, g.spill+spillPerRequest)
+	best := p.best(now, g, r, r.Region)
+	if verdict := p.judge(r, best); verdict == "" {
+		return best
+	}
+	// Elsewhere there may be room, or servers at all.
+	other := best
+	for region := range g.byRegion {
+		if region == r.Region {
+			continue
+		}
+		if c := p.best(now, g, r, region); c.Server != nil && (other.Server == nil || c.Expected < other.Expected) {
+			other = c
+		}
+	}
+	if other.Server != nil && p.judge(r, other) == "" && (best.Server == nil || g.spill >= 1) {
+		if best.Server != nil {
+			g.spill--
+		}
+		return other
+	}
+	return p.reject(r, other)
+}
+
+// judge returns why a choice is not good enough; empty if it is.
+func (p *Picker) judge(r *Request, c Choice) Reason {
+	switch {
+	case c.Server == nil:
+		return NoServer
+	case c.Expected > r.Remaining:
+		return NoTime
+	case float64(c.Expected+r.Waited) > patienceOf(r.Rank)*float64(r.Objective) && c.wait > 0:
+		return Overloaded
+	default:
+		return ""
+	}
+}
+
+func (p *Picker) reject(r *Request, c Choice) Choice {
+	reason := p.judge(r, c)
+	retry := maxRetryAfter
+	if c.Server != nil {
+		retry = time.Duration(c.wait/2) * time.Millisecond
+	}
+	return Choice{Reason: reason, RetryAfter: min(max(retry, minRetryAfter), maxRetryAfter), Expected: c.Expected}
+}
+
+// best returns the cheapest usable server of a region.
+func (p *Picker) best(now time.Duration, g *group, r *Request, region string) Choice {
+	if r.Allowed != nil && !r.Allowed(region) {
+		return Choice{}
+	}
+	list := g.byRegion[region]
+	if len(list) == 0 {
+		return Choice{}
+	}
+	first, second := p.ranking(list, r.Object)
+	c := p.class(r)
+	rtt := p.rtt(region)
+	var chosen *server
+	var choice Choice
+	lowest := math.Inf(1)
+	for _, s := range list {
+		if !p.usable(now, s, r) {
+			continue
+		}
+		work := c.cold
+		warm := r.Object == 0 || s == first || s.isWarm(now, r.Object)
+		switch {
+		case warm:
+			work = c.warm
+		case s == second:
+			work = (c.cold + c.warm) / 2
+		}
+		work *= s.slow
+		wait := p.waitMS(now, g, s)
+		expected := rtt + wait + work
+		n := s.load(now) / float64(s.told.Slots)
+		cost := expected + queueCost*min(n, 1)*min(n, 1)*g.meanMS +
+			extraWorkCost*max(0, work-c.warm) + s.failing*failureCostMS + s.shedding*shedCostMS
+		if cost < lowest {
+			lowest, chosen = cost, s
+			choice = Choice{Server: s.told, Expected: time.Duration(expected * float64(time.Millisecond)), Warm: warm, wait: wait}
+		}
+	}
+	if chosen != nil && chosen.isCold(now) {
+		if ok, _ := chosen.cold.Take(now); !ok {
+			return Choice{}
+		}
+	}
+	return choice
+}
+
+// waitMS is the expected wait in the queue of a server.
+func (p *Picker) waitMS(now time.Duration, g *group, s *server) float64 {
+	over := s.load(now) + 1 - float64(s.told.Slots)
+	if over <= 0 {
+		return 0
+	}
+	return over / float64(s.told.Slots) * g.meanMS * s.slow
+}
+
+func (p *Picker) usable(now time.Duration, s *server, r *Request) bool {
+	s.fade(now)
+	if s.suspect || now < s.suspendedUntil || slices.Contains(r.Tried, s.told.ID) {
+		return false
+	}
+	if s.isCold(now) && (!s.coldOwner || s.cold.Tokens(now) < 1) {
+		return false
+	}
+	return true
+}
+
+// ranking returns the first two servers for an object by rendezvous hashing.
+func (p *Picker) ranking(list []*server, object uint64) (first, second *server) {
+	if object == 0 {
+		return nil, nil
+	}
+	var top, next uint64
+	for _, s := range list {
+		switch h := mix(s.hash ^ object); {
+		case first == nil || h > top:
+			second, next = first, top
+			first, top = s, h
+		case second == nil || h > next:
+			second, next = s, h
+		}
+	}
+	return first, second
+}
+
+// Started notes that a request was sent to the chosen server.
+func (p *Picker) Started(now time.Duration, r *Request, c Choice) {
+	if s := p.servers[c.Server.ID]; s != nil {
+		s.inflight++
+		s.touched(now, r.Object)
+	}
+}
+
+// Result is how a request to a server ended.
+type Result int
+
+// Results.
+const (
+	// Succeeded means a whole answer that is not a failure of the server.
+	Succeeded Result = iota
+	// Failed means a failure answer, a broken answer or none in time.
+	Failed
+	// Shed means that the server rejected the request without running it.
+	Shed
+	// Unreachable means that no connection was made.
+	Unreachable
+	// Misdirected means that another server has the address.
+	Misdirected
+	// Abandoned means that the caller left; it tells nothing of the server.
+	Abandoned
+)
+
+// Finished notes how a started request ended after elapsed.
+func (p *Picker) Finished(now time.Duration, r *Request, c Choice, result Result, elapsed time.Duration) {
+	s := p.servers[c.Server.ID]
+	if s == nil {
+		return
+	}
+	s.inflight = max(0, s.inflight-1)
+	s.fade(now)
+	switch result {
+	case Succeeded:
+		s.failures = 0
+		s.suspension = 0
+		s.failing -= s.failing * markWeight
+		s.shedding -= s.shedding * markWeight
+		p.observe(r, c, s, elapsed)
+	case Failed:
+		s.failures++
+		s.failing += (1 - s.failing) * markWeight
+		if s.failures >= failuresInRow {
+			s.failures = 0
+			s.suspend(now)
+		}
+	case Shed:
+		s.shedding += (1 - s.shedding) * markWeight
+	case Unreachable, Misdirected:
+		s.suspend(now)
+	}
+}
+
+func (p *Picker) observe(r *Request, c Choice, s *server, elapsed time.Duration) {
+	ms := float64(elapsed) / float64(time.Millisecond)
+	expected := max(1, float64(c.Expected)/float64(time.Millisecond))
+	ratio := min(max(ms/expected, 0.2), maxSlow) * s.slow
+	s.slow = max(1, s.slow+(ratio-s.slow)*slowWeight)
+	if work := ms - p.rtt(s.told.Region) - c.wait; work > 1 && s.slow < 2 {
+		p.class(r).observe(c.Warm, work)
+		if g := p.groups[r.Service]; g != nil {
+			g.meanMS += (work - g.meanMS) * workWeight
+		}
+	}
+}
+
+// Reported notes the load that a server told with an answer.
+func (p *Picker) Reported(now time.Duration, id string, running, waiting int) {
+	if s := p.servers[id]; s != nil {
+		s.report(now, running, waiting)
+	}
+}
+
+// Connected notes how long it took to open a connection to a region.
+func (p *Picker) Connected(region string, elapsed time.Duration) {
+	ms := float64(elapsed) / float64(time.Millisecond)
+	if old, ok := p.rttMS[region]; ok {
+		ms = old + (ms-old)*rttWeight
+	}
+	p.rttMS[region] = ms
+}
+
+// rttWeight is the weight of the newest connection in the round trip time.
+const rttWeight = 0.1
+
+// Probes returns the suspended servers that may be probed now, and postpones
+// the next probe of each.
+func (p *Picker) Probes(now time.Duration) []*steering.Server {
+	var due []*steering.Server
+	for _, s := range p.servers {
+		if s.suspect && now >= s.suspendedUntil {
+			due = append(due, s.told)
+			s.suspension = min(max(2*s.suspension, firstSuspension), maxSuspension)
+			s.suspendedUntil = now + s.suspension
+		}
+	}
+	return due
+}
+
+// Probed notes a good answer to a probe; cold is how long the server stays
+// cold.
+func (p *Picker) Probed(now time.Duration, id string, cold time.Duration) {
+	s := p.servers[id]
+	if s == nil || !s.suspect {
+		return
+	}
+	s.suspect, s.suspendedUntil = false, now
+	s.coldUntil = max(s.coldUntil, now+cold)
+	if g := p.groups[s.told.Service]; g != nil && s.isCold(now) {
+		p.assignColdServer(now, g, s)
+	}
+}
+
+// Suspect takes a server out until a probe answered.
+func (p *Picker) Suspect(now time.Duration, id string) {
+	if s := p.servers[id]; s != nil && !s.suspect {
+		s.suspect, s.suspendedUntil = true, now
+	}
+}
--- /dev/null
+++ b/core/placement/split.go
@@ -0,0 +1,70 @@
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/cassiawind/cassiawind/core/steering"
+)
+
+// Split divides the requests of a route among its parts by smooth weighted
+// round robin: after any number of requests, each part is within one request
+// of its share.
+type Split struct {
+	parts []steering.Part
+	due   []float64
+	total float64
+}
+
+// NewSplit returns a split that starts at phase, in [0, 1), so that VMs which
+// start together do not all send their first request to the same part.
+func NewSplit(parts []steering.Part, phase float64) *Split {
+	s := &Split{parts: parts, due: make([]float64, len(parts))}
+	for _, p := range parts {
+		s.total += p.Weight
+	}
+	for i, p := range parts {
+		s.due[i] = p.Weight * phase
+	}
+	return s
+}
+
+// Same reports whether the split has these parts.
+func (s *Split) Same(parts []steering.Part) bool {
+	if len(parts) != len(s.parts) {
+		return false
+	}
+	for i := range parts {
+		if parts[i] != s.parts[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Next returns the service of the next request.
+func (s *Split) Next() string {
+	best := 0
+	for i, p := range s.parts {
+		s.due[i] += p.Weight
+		if s.due[i] > s.due[best] {
+			best = i
+		}
+	}
+	s.due[best] -= s.total
+	return s.parts[best].Service
+}
+
+// Phase returns where in its cycle the split of a route starts at a VM.
+func Phase(vm, route string) float64 { return unit(mix(hashString(vm) ^ hashString(route))) }
+
+// Unit maps the hash of an object to [0, 1); requests without an object are
+// drawn at random.
+func Unit(object uint64) float64 {
+	if object == 0 {
+		return rand.Float64()
+	}
+	return unit(mix(object + 1))
+}
+
+// Sampled reports whether an id belongs to the one in n that is logged.
+func Sampled(id string, n uint64) bool { return hashString(id)%n == 0 }
--- /dev/null
+++ b/entry/gateway/directory.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cassiawind/cassiawind/core/directory"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+// directoryTTL is how long callers keep an answer of the directory. Some keep
+// it three times as long.
+const directoryTTL = 3 * time.Second
+
+// resolve tells callers which VMs to use.
+func (n *Node) resolve(w http.ResponseWriter, r *http.Request) {
+	query := adapter.ReadResolveQuery(r)
+	view := n.view.Load()
+	n.mu.Lock()
+	digest, fresh := n.peers.Digest(n.now())
+	n.mu.Unlock()
+	var alive func(vm string) bool
+	if fresh && digest.Settled {
+		alive = func(vm string) bool { return slices.Contains(digest.Alive, vm) }
+	}
+	addresses := directory.Addresses(view.VMs, alive, query.Region, query.FailureDomain)
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if err := adapter.WriteResolveAnswer(w, addresses, min(directoryTTL, n.settings.Bounds.DirectoryTTL)); err != nil {
+		n.metrics.Count(1, "directory", "not_written")
+	}
+}
+
+// readiness tells the platform whether this VM takes callers.
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || !n.view.Load().Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/entry/gateway/node.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/exchange"
+	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/core/ratelimit"
+	"github.com/cassiawind/cassiawind/core/regionflow"
+	"github.com/cassiawind/cassiawind/core/retrybudget"
+	"github.com/cassiawind/cassiawind/entry/ingress"
+	"github.com/cassiawind/cassiawind/entry/telemetry"
+	"github.com/cassiawind/cassiawind/entry/upstream"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+const (
+	// tick is the interval of the work that waits for nothing else.
+	tick = 250 * time.Millisecond
+	// unreadHeaderTimeout bounds the head of a call to the directory.
+	unreadHeaderTimeout = 2 * time.Second
+	// serviceIdleTimeout is how long connections of the directory's callers and
+	// of the platform's checks are kept.
+	serviceIdleTimeout = 30 * time.Second
+)
+
+// Node is one gateway process.
+type Node struct {
+	settings adapter.Settings
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	start    time.Time
+	store    *adapter.Store
+	pool     *upstream.Pool
+	ingress  *ingress.Server
+	view     atomic.Pointer[catalog.View]
+	stopping atomic.Bool
+	// operatorLost is set while the operator's rows cannot be read.
+	operatorLost atomic.Bool
+	udp          *net.UDPConn
+	failures     chan error
+
+	mu      sync.Mutex
+	catalog *catalog.Catalog
+	picker  *placement.Picker
+	peers   *exchange.Machine
+	vms     int
+	buckets map[string]*ratelimit.Bucket
+	budgets map[string]*retrybudget.Budget
+	flows   map[string]*regionflow.Flow
+	splits  map[string]*placement.Split
+	demand  *demandMeter
+}
+
+// New returns a node that does not run yet.
+func New(settings adapter.Settings, log logr.Logger) *Node {
+	start := time.Now()
+	n := &Node{
+		settings: settings, log: log, start: start, metrics: telemetry.New(start),
+		store:    adapter.NewStore(settings.StoreAddress, newStoreTransport()),
+		pool:     upstream.NewPool(newServerDialer()),
+		failures: make(chan error, 1),
+		catalog:  catalog.New(), picker: placement.New(settings.VM, settings.Region),
+		peers: exchange.New(settings.VM, start.UnixNano(), 0), vms: 1,
+		buckets: make(map[string]*ratelimit.Bucket), budgets: make(map[string]*retrybudget.Budget),
+		flows: make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
+		demand: newDemandMeter(),
+	}
+	n.view.Store(&catalog.View{})
+	n.ingress = ingress.NewServer(&handler{n})
+	return n
+}
+
+// now is the time since the start of the process. It follows the steady clock.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Run serves until stop is closed and every caller was answered.
+func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := n.listen(ctx); err != nil {
+		return err
+	}
+	n.log.Info("started", "vm", n.settings.VM, "failureDomain", n.settings.FailureDomain, "region", n.settings.Region)
+	var background sync.WaitGroup
+	for _, run := range []func(context.Context){
+		n.watchOperator, n.watchServers, n.watchVMs, n.registerVM, n.receivePeers, n.exchangeLoop, n.tickLoop,
+	} {
+		background.Go(func() { run(ctx) })
+	}
+	var err error
+	select {
+	case <-stop:
+		n.drain(ctx)
+	case err = <-n.failures:
+	}
+	cancel()
+	_ = n.udp.Close()
+	background.Wait()
+	n.log.Info("stopped", "vm", n.settings.VM)
+	return err
+}
+
+// ErrListen means that an address cannot be listened on.
+var ErrListen = errors.New("cannot listen")
+
+func (n *Node) listen(ctx context.Context) error {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	open := func(address string) (net.Listener, error) {
+		l, err := config.Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(ErrListen, "%s: %v", address, err)
+		}
+		return l, nil
+	}
+	front, err := open(n.settings.FrontAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := open(n.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	metrics, err := open(joinPort(n.settings.IP, n.settings.MetricsPort))
+	if err != nil {
+		return err
+	}
+	address, err := net.ResolveUDPAddr("udp", n.exchangeAddress())
+	if err != nil {
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	if n.udp, err = net.ListenUDP("udp", address); err != nil {
+		return errors.Wrap(ErrListen, err.Error())
+	}
+	if n.settings.DirectoryAddress != "" {
+		directory, err := open(n.settings.DirectoryAddress)
+		if err != nil {
+			return err
+		}
+		n.serve(directory, adapter.PathResolve, http.HandlerFunc(n.resolve))
+	}
+	n.serve(ready, adapter.PathReady, http.HandlerFunc(n.readiness))
+	n.serve(metrics, "/metrics", n.metrics.Prometheus())
+	go func() {
+		if err := n.ingress.Serve(front); err != nil {
+			n.fail(err)
+		}
+	}()
+	return nil
+}
+
+func (n *Node) serve(l net.Listener, path string, h http.Handler) {
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: unreadHeaderTimeout, IdleTimeout: serviceIdleTimeout}
+	go func() {
+		if err := server.Serve(l); err != nil {
+			n.fail(err)
+		}
+	}()
+}
+
+// fail ends the process with an error.
+func (n *Node) fail(err error) {
+	select {
+	case n.failures <- err:
+	default:
+	}
+}
+
+func (n *Node) exchangeAddress() string { return joinPort(n.settings.IP, n.settings.ExchangePort) }
+
+// tickLoop does the work that waits for nothing else: probes, region flows,
+// lapsed entries and connections that were unused for too long.
+func (n *Node) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := n.now()
+		n.mu.Lock()
+		if n.catalog.Expire(now) {
+			n.rebuild(now)
+		}
+		n.stepFlows(now)
+		probes := n.picker.Probes(now)
+		n.mu.Unlock()
+		for _, s := range probes {
+			go n.probe(ctx, s)
+		}
+		n.pool.Trim()
+	}
+}
+
+// rebuild puts what the catalog knows in force; the caller holds mu.
+func (n *Node) rebuild(now time.Duration) {
+	view := n.catalog.Build(now)
+	n.view.Store(view)
+	if view.Config == nil {
+		return
+	}
+	for _, gone := range n.picker.Update(now, view.Config.Services, view.Servers) {
+		go n.pool.Forget(gone.ID)
+	}
+	roster := make([]string, 0, len(view.VMs))
+	for name := range view.VMs {
+		roster = append(roster, name)
+	}
+	n.peers.SetRoster(roster)
+	n.vms = n.peers.Size()
+	n.picker.SetVMs(now, roster)
+	n.setRates(now, view)
+}
+
+// setRates gives each account's bucket this VM's part of its rate; the caller
+// holds mu.
+func (n *Node) setRates(now time.Duration, view *catalog.View) {
+	digest, fresh := n.peers.Digest(now)
+	for name, a := range view.Config.Accounts {
+		b := n.buckets[name]
+		if a.Rate <= 0 {
+			delete(n.buckets, name)
+			continue
+		}
+		if b == nil {
+			b = &ratelimit.Bucket{}
+			n.buckets[name] = b
+		}
+		part, known := digest.Parts[name]
+		if !fresh || !known {
+			part = 1 / float64(n.vms)
+		}
+		b.Set(now, a.Rate*part, max(1, a.Burst*part))
+	}
+}
+
+// stepFlows moves the shares of the regions; the caller holds mu.
+func (n *Node) stepFlows(now time.Duration) {
+	view := n.view.Load()
+	if view.Config == nil {
+		return
+	}
+	digest, fresh := n.peers.Digest(now)
+	for service := range view.Config.Services {
+		flow := n.flows[service]
+		if flow == nil {
+			flow = &regionflow.Flow{}
+			n.flows[service] = flow
+		}
+		if !fresh {
+			continue
+		}
+		capacity := n.picker.Capacity(now, service)
+		regions := sortedKeys(capacity)
+		loads := make([]regionflow.Load, 0, len(regions))
+		for _, r := range regions {
+			loads = append(loads, regionflow.Load{Region: r, Demand: digest.Work[r][service], Capacity: capacity[r]})
+		}
+		if _, ok := capacity[n.settings.Region]; !ok {
+			loads = append(loads, regionflow.Load{Region: n.settings.Region, Demand: digest.Work[n.settings.Region][service]})
+		}
+		// A quarter of the bound on shifts within 2 s, in a second: half of the
+		// bound is left for requests that spill.
+		flow.Step(now, regionflow.Target(n.settings.Region, loads), n.settings.Bounds.MaxShift/4, false)
+	}
+}
--- /dev/null
+++ b/entry/gateway/watch.go
@@ -0,0 +1,345 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/platform"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+const (
+	// feedWait is how long the store holds an unanswered feed. A keep-alive
+	// finds a silent connection sooner; this bounds a store that accepts and
+	// does not answer.
+	feedWait = 10 * time.Second
+	// feedSlack is added to feedWait before a feed counts as lost.
+	feedSlack = 1500 * time.Millisecond
+	// readTimeout bounds a full read of a table.
+	readTimeout = 3 * time.Second
+	// writeTimeout bounds a write.
+	writeTimeout = 2 * time.Second
+	// operatorPause and entryPause are the least times between two feeds of a
+	// table, so that changes in quick succession take one call.
+	operatorPause = 200 * time.Millisecond
+	entryPause    = 300 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed call.
+	firstBackoff = 150 * time.Millisecond
+	maxBackoff   = 1200 * time.Millisecond
+)
+
+// watcher follows one table of the store.
+type watcher struct {
+	table string
+	pause time.Duration
+	// load takes a full read and reports whether it was used.
+	load func(now time.Duration, rows adapter.Rows) bool
+	// apply takes changed rows.
+	apply func(now time.Duration, rows []adapter.Row)
+	// lost and regained tell whether the table can be read.
+	lost, regained func()
+}
+
+// follow reads the table and then its changes until ctx ends.
+func (n *Node) follow(ctx context.Context, w watcher) {
+	var after uint64
+	loaded, lost := false, false
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		rows, full, err := n.next(ctx, w.table, loaded, after)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, adapter.ErrHistoryGone) {
+			n.log.Info("history of the store is gone, reading in full", "table", w.table, "version", after)
+			loaded = false
+			n.sleep(ctx, jitter(firstBackoff))
+			continue
+		}
+		if err != nil {
+			if !lost {
+				lost = true
+				n.log.Info("store lost", "table", w.table, "error", err.Error())
+				w.lost()
+			}
+			n.metrics.Count(1, "store_calls", w.table, "failed")
+			n.sleep(ctx, jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		n.metrics.Count(1, "store_calls", w.table, "ok")
+		backoff = firstBackoff
+		if lost {
+			lost = false
+			n.log.Info("store regained", "table", w.table, "version", rows.Version)
+			w.regained()
+		}
+		if full {
+			if !w.load(n.now(), rows) {
+				n.log.Info("full read of the store is older than what is known", "table", w.table, "read", rows.Version, "known", after)
+				n.sleep(ctx, jitter(2*firstBackoff))
+				continue
+			}
+			loaded = true
+		} else if len(rows.Rows) > 0 {
+			w.apply(n.now(), rows.Rows)
+		}
+		after = max(after, rows.Version)
+		if full || len(rows.Rows) > 0 {
+			n.sleep(ctx, w.pause)
+		}
+	}
+}
+
+// next reads a table in full or waits for changes.
+func (n *Node) next(ctx context.Context, table string, loaded bool, after uint64) (adapter.Rows, bool, error) {
+	if !loaded {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		rows, err := n.store.Read(ctx, table)
+		return rows, true, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	rows, err := n.store.Feed(ctx, table, after, feedWait)
+	return rows, false, err
+}
+
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// jitter spreads the calls of VMs that lost the store together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func (n *Node) watchOperator(ctx context.Context) {
+	n.follow(ctx, watcher{
+		table: adapter.TableOperator, pause: operatorPause,
+		load: func(now time.Duration, rows adapter.Rows) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			var zones []catalog.Change[struct{}]
+			for _, row := range rows.Rows {
+				if _, zone := adapter.OperatorKey(row.Key); zone != "" {
+					zones = append(zones, catalog.Change[struct{}]{Key: zone, Version: row.Version, Value: &struct{}{}})
+				}
+			}
+			if !n.catalog.LoadEvacuations(now, rows.Version, zones) {
+				return false
+			}
+			n.applyConfigRows(rows.Rows)
+			n.catalog.OperatorLoaded()
+			n.rebuild(now)
+			return true
+		},
+		apply: func(now time.Duration, rows []adapter.Row) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.applyConfigRows(rows)
+			for _, row := range rows {
+				_, zone := adapter.OperatorKey(row.Key)
+				if zone == "" {
+					continue
+				}
+				change := catalog.Change[struct{}]{Key: zone, Version: row.Version}
+				if !row.Deleted {
+					change.Value = &struct{}{}
+				}
+				if n.catalog.ApplyEvacuation(now, change) {
+					n.log.Info("evacuation changed", "failureDomain", zone, "evacuated", !row.Deleted, "version", row.Version)
+				}
+			}
+			n.rebuild(now)
+		},
+		lost:     func() { n.operatorLost.Store(true) },
+		regained: func() { n.operatorLost.Store(false) },
+	})
+}
+
+// applyConfigRows puts the newest configuration in force; the caller holds mu.
+func (n *Node) applyConfigRows(rows []adapter.Row) {
+	for _, row := range rows {
+		if isConfig, _ := adapter.OperatorKey(row.Key); !isConfig || row.Deleted {
+			continue
+		}
+		config, err := adapter.DecodeConfig(row.Value)
+		if err != nil {
+			n.log.Info("configuration cannot be read", "version", row.Version, "error", err.Error())
+			continue
+		}
+		if n.catalog.ApplyConfig(config) {
+			n.log.Info("configuration in force", "config", config.Version, "version", row.Version,
+				"routes", config.Routes(), "services", len(config.Services), "accounts", len(config.Accounts))
+		}
+	}
+}
+
+func (n *Node) watchServers(ctx context.Context) {
+	decode := func(now time.Duration, rows []adapter.Row) []catalog.Change[steering.Server] {
+		changes := make([]catalog.Change[steering.Server], 0, len(rows))
+		for _, row := range rows {
+			change := catalog.Change[steering.Server]{Key: row.Key, Version: row.Version}
+			if !row.Deleted {
+				server, err := adapter.DecodeServer(row.Key, row.Value, n.settings.RegionOf, now)
+				if err != nil {
+					change.Unreadable = true
+					n.log.Info("backend server entry cannot be read", "server", row.Key, "version", row.Version, "error", err.Error())
+				}
+				change.Value = server
+			}
+			changes = append(changes, change)
+		}
+		return changes
+	}
+	n.follow(ctx, watcher{
+		table: adapter.TableServers, pause: entryPause,
+		load: func(now time.Duration, rows adapter.Rows) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if !n.catalog.LoadServers(now, rows.Version, decode(now, rows.Rows)) {
+				return false
+			}
+			n.rebuild(now)
+			return true
+		},
+		apply: func(now time.Duration, rows []adapter.Row) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			for _, change := range decode(now, rows) {
+				if n.catalog.ApplyServer(now, change) {
+					n.logServer(change)
+				}
+			}
+			n.rebuild(now)
+		},
+		lost: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.catalog.StoreLost()
+		},
+		regained: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.catalog.StoreRegained(n.now())
+		},
+	})
+}
+
+func (n *Node) logServer(c catalog.Change[steering.Server]) {
+	if c.Value == nil {
+		n.log.Info("backend server gone", "server", c.Key, "version", c.Version)
+		return
+	}
+	n.log.Info("backend server changed", "server", c.Key, "service", c.Value.Service, "failureDomain", c.Value.Zone,
+		"draining", c.Value.Draining, "version", c.Version)
+}
+
+// vmEntry is the entry of a VM in the store.
+type vmEntry struct {
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Front         string `json:"front"`
+	Exchange      string `json:"exchange"`
+	Born          int64  `json:"born"`
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+func decodeVMs(n *Node, rows []adapter.Row) []catalog.Change[steering.VM] {
+	changes := make([]catalog.Change[steering.VM], 0, len(rows))
+	for _, row := range rows {
+		change := catalog.Change[steering.VM]{Key: row.Key, Version: row.Version}
+		if !row.Deleted {
+			var e vmEntry
+			if err := json.Unmarshal(row.Value, &e); err != nil {
+				change.Unreadable = true
+				n.log.Info("VM entry cannot be read", "vm", row.Key, "version", row.Version, "error", err.Error())
+			} else {
+				change.Value = &steering.VM{
+					Name: row.Key, Zone: e.FailureDomain, Region: e.Region, Front: e.Front,
+					Exchange: e.Exchange, Born: e.Born, Leaving: e.Leaving,
+				}
+			}
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+func (n *Node) watchVMs(ctx context.Context) {
+	n.follow(ctx, watcher{
+		table: adapter.TableVMs, pause: entryPause,
+		load: func(now time.Duration, rows adapter.Rows) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if !n.catalog.LoadVMs(rows.Version, decodeVMs(n, rows.Rows)) {
+				return false
+			}
+			n.rebuild(now)
+			return true
+		},
+		apply: func(now time.Duration, rows []adapter.Row) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			for _, change := range decodeVMs(n, rows) {
+				if n.catalog.ApplyVM(change) {
+					n.log.Info("VM changed", "vm", change.Key, "gone", change.Value == nil, "version", change.Version)
+				}
+			}
+			n.rebuild(now)
+		},
+		lost: func() {}, regained: func() {},
+	})
+}
+
+// registerVM writes this VM's entry until the store has it.
+func (n *Node) registerVM(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil && !n.stopping.Load() {
+		if err := n.writeEntry(ctx, false); err == nil {
+			n.log.Info("VM registered", "vm", n.settings.VM)
+			return
+		} else {
+			n.log.Info("VM not registered", "vm", n.settings.VM, "error", err.Error())
+		}
+		n.sleep(ctx, jitter(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (n *Node) writeEntry(ctx context.Context, leaving bool) error {
+	raw, err := json.Marshal(vmEntry{
+		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Front: n.settings.FrontAddress,
+		Exchange: n.exchangeAddress(), Born: n.start.UnixNano(), Leaving: leaving,
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return n.store.Put(ctx, adapter.TableVMs, n.settings.VM, raw)
+}
+
+// removeVM removes the entry of a VM that is gone.
+func (n *Node) removeVM(ctx context.Context, name string, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := n.store.DeleteIf(ctx, adapter.TableVMs, name, version)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		n.log.Info("entry of a gone VM not removed", "vm", name, "error", err.Error())
+		return
+	}
+	n.log.Info("entry of a gone VM removed", "vm", name, "version", version)
+}
--- /dev/null
+++ b/entry/ingress/server.go
@@ -0,0 +1,114 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Handler answers requests.
+type Handler interface {
+	// Serve answers one request. The context ends when the caller leaves. The
+	// answer must not be nil.
+	Serve(ctx context.Context, r *Request) *Answer
+	// Concurrent reports whether a request may be served while earlier ones of
+	// its connection are.
+	Concurrent(r *Request) bool
+	// Limits returns the limits in force.
+	Limits() Limits
+	// Refuse returns the answer to a request that cannot be read.
+	Refuse(status int) *Answer
+}
+
+// Server accepts callers' connections.
+type Server struct {
+	handler Handler
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	stopping bool
+	inflight int
+	lastDone time.Time
+}
+
+// NewServer returns a server for a handler.
+func NewServer(h Handler) *Server {
+	return &Server{handler: h, conns: make(map[*conn]struct{}), lastDone: time.Now()}
+}
+
+// acceptPause is the pause after a failed accept, which happens when
+// descriptors run out.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConn(s, nc)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go c.run()
+	}
+}
+
+// Drain makes every answer ask its caller to close the connection.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+func (s *Server) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// Activity returns the number of open connections, of requests that are being
+// answered, and for how long there were none of the latter.
+func (s *Server) Activity() (conns, inflight int, idle time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inflight == 0 {
+		idle = time.Since(s.lastDone)
+	}
+	return len(s.conns), s.inflight, idle
+}
+
+func (s *Server) begin() {
+	s.mu.Lock()
+	s.inflight++
+	s.mu.Unlock()
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	s.inflight--
+	s.lastDone = time.Now()
+	s.mu.Unlock()
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
