--- a/cassiawind/gateway.go
+++ b/cassiawind/gateway.go
@@ -34,20 +34,31 @@
 		if err != nil {
 			return errors.Wrap(ErrUsage, err.Error())
 		}
-		return runGateway(settings)
+		return runGateway(path, settings)
 	}}
 }
 
-func runGateway(settings adapter.Settings) error {
+func runGateway(path string, settings adapter.Settings) error {
 	debug.SetGCPercent(gatewayGCPercent)
 	log, flush := eventlog.New(os.Stdout)
 	defer flush()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	node := gateway.New(settings, log)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	stop := make(chan struct{})
 	go func() {
-		<-signals
-		close(stop)
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				close(stop)
+				return
+			}
+			changed, err := adapter.LoadSettings(path)
+			if err != nil {
+				log.Info("changed settings not used", "error", err.Error())
+				continue
+			}
+			node.Reload(changed)
+		}
 	}()
-	return gateway.New(settings, log).Run(context.Background(), stop)
+	return node.Run(context.Background(), stop)
 }
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -267,7 +267,10 @@
 		}
 		return other
 	}
-	return p.reject(r, other)
+	if p.judge(r, best) == Overloaded && p.judge(r, other) == "" {
+		return best
+	}
+	return p.reject(r, best)
 }
 
 // judge returns why a choice is not good enough; empty if it is.
--- a/core/regionflow/regionflow.go
+++ b/core/regionflow/regionflow.go
@@ -69,6 +69,25 @@
 	return shares
 }
 
+// assumedUtilization is the utilization that Assume takes for granted.
+const assumedUtilization = 0.8
+
+// Assume returns loads with the same demand for every region, for the time
+// before any was measured: regions with few servers then start with shares
+// elsewhere, which takes seconds to reach later.
+func Assume(loads []Load) []Load {
+	var capacity float64
+	for _, l := range loads {
+		capacity += l.Capacity
+	}
+	out := make([]Load, len(loads))
+	for i, l := range loads {
+		l.Demand = assumedUtilization * capacity / float64(len(loads))
+		out[i] = l
+	}
+	return out
+}
+
 // Flow holds the shares in force and moves them towards a target.
 type Flow struct {
 	shares map[string]float64
--- a/entry/gateway/directory.go
+++ b/entry/gateway/directory.go
@@ -29,7 +29,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if err := adapter.WriteResolveAnswer(w, addresses, min(directoryTTL, n.settings.Bounds.DirectoryTTL)); err != nil {
+	if err := adapter.WriteResolveAnswer(w, addresses, min(directoryTTL, n.bounds.Load().DirectoryTTL)); err != nil {
 		n.metrics.Count(1, "directory", "not_written")
 	}
 }
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,9 @@
 
 // Node is one gateway process.
 type Node struct {
+	// settings do not change, apart from the bounds.
 	settings adapter.Settings
+	bounds   atomic.Pointer[adapter.Bounds]
 	log      logr.Logger
 	metrics  *telemetry.Metrics
 	start    time.Time
@@ -57,8 +60,11 @@
 	buckets map[string]*ratelimit.Bucket
 	budgets map[string]*retrybudget.Budget
 	flows   map[string]*regionflow.Flow
-	splits  map[string]*placement.Split
-	demand  *demandMeter
+	regions []string
+	// demanded are the services whose demand was measured.
+	demanded map[string]bool
+	splits   map[string]*placement.Split
+	demand   *demandMeter
 }
 
 // New returns a node that does not run yet.
@@ -73,13 +79,23 @@
 		peers: exchange.New(settings.VM, start.UnixNano(), 0), vms: 1,
 		buckets: make(map[string]*ratelimit.Bucket), budgets: make(map[string]*retrybudget.Budget),
 		flows: make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
-		demand: newDemandMeter(),
+		demand: newDemandMeter(), regions: regionsOf(settings), demanded: make(map[string]bool),
 	}
+	n.bounds.Store(&settings.Bounds)
 	n.view.Store(&catalog.View{})
 	n.ingress = ingress.NewServer(&handler{n})
 	return n
 }
 
+// regionsOf returns the regions of the deployment in the order of their names.
+func regionsOf(s adapter.Settings) []string {
+	names := make(map[string]bool)
+	for _, r := range s.RegionOf {
+		names[r] = true
+	}
+	return sortedKeys(names)
+}
+
 // now is the time since the start of the process. It follows the steady clock.
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
@@ -169,6 +185,15 @@
 	}()
 }
 
+// Reload puts changed settings in force. Addresses and places belong to one
+// start of the process; a change there is logged and waits for the next start.
+func (n *Node) Reload(settings adapter.Settings) {
+	n.bounds.Store(&settings.Bounds)
+	fixed := settings
+	fixed.Bounds = n.settings.Bounds
+	n.log.Info("settings reloaded", "restartNeeded", !reflect.DeepEqual(fixed, n.settings))
+}
+
 // fail ends the process with an error.
 func (n *Node) fail(err error) {
 	select {
@@ -260,20 +285,23 @@
 			flow = &regionflow.Flow{}
 			n.flows[service] = flow
 		}
-		if !fresh {
+		if !fresh && n.demanded[service] {
 			continue
 		}
+		loads := make([]regionflow.Load, 0, len(n.regions))
 		capacity := n.picker.Capacity(now, service)
-		regions := sortedKeys(capacity)
-		loads := make([]regionflow.Load, 0, len(regions))
-		for _, r := range regions {
-			loads = append(loads, regionflow.Load{Region: r, Demand: digest.Work[r][service], Capacity: capacity[r]})
+		for _, r := range n.regions {
+			demand := digest.Work[r][service]
+			if demand > 0 {
+				n.demanded[service] = true
+			}
+			loads = append(loads, regionflow.Load{Region: r, Demand: demand, Capacity: capacity[r]})
 		}
-		if _, ok := capacity[n.settings.Region]; !ok {
-			loads = append(loads, regionflow.Load{Region: n.settings.Region, Demand: digest.Work[n.settings.Region][service]})
+		if !n.demanded[service] {
+			loads = regionflow.Assume(loads)
 		}
-		// A quarter of the bound on shifts within 2 s, in a second: half of the
-		// bound is left for requests that spill.
-		flow.Step(now, regionflow.Target(n.settings.Region, loads), n.settings.Bounds.MaxShift/4, false)
+		// A third of the bound on shifts within 2 s: the rest is left for
+		// requests that spill.
+		flow.Step(now, regionflow.Target(n.settings.Region, loads), n.bounds.Load().MaxShift/6, !n.demanded[service])
 	}
 }
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -99,8 +99,10 @@
 func statusName(status int) string { return strings.ToLower(http.StatusText(status)) }
 
 const (
-	// exitMargin is left of the grace period for the process to end.
-	exitMargin = 500 * time.Millisecond
+	// exitMargin is left of the grace period to answer the last requests.
+	exitMargin = 1200 * time.Millisecond
+	// killMargin is left of the grace period for the process to end.
+	killMargin = 150 * time.Millisecond
 	// settleTime is how long a leaving VM serves at least: callers learn from
 	// the directory within this time that it leaves.
 	settleTime = 3500 * time.Millisecond
@@ -115,14 +117,14 @@
 func (n *Node) drain(ctx context.Context) {
 	begin := time.Now()
 	n.stopping.Store(true)
-	n.log.Info("stopping", "vm", n.settings.VM, "grace", n.settings.Bounds.Grace.String())
+	n.log.Info("stopping", "vm", n.settings.VM, "grace", n.bounds.Load().Grace.String())
 	n.ingress.Drain()
 	go func() {
 		if err := n.writeEntry(ctx, true); err != nil {
 			n.log.Info("leaving not registered", "error", err.Error())
 		}
 	}()
-	end := n.settings.Bounds.Grace - exitMargin
+	end := n.bounds.Load().Grace - exitMargin
 	for time.Since(begin) < end {
 		conns, inflight, idle := n.ingress.Activity()
 		passed := time.Since(begin)
@@ -131,6 +133,13 @@
 		}
 		n.sleep(ctx, drainPoll)
 	}
+	n.ingress.Close()
+	for time.Since(begin) < n.bounds.Load().Grace-killMargin {
+		if conns, _, _ := n.ingress.Activity(); conns == 0 {
+			break
+		}
+		n.sleep(ctx, drainPoll)
+	}
 	conns, inflight, _ := n.ingress.Activity()
 	n.log.Info("drained", "connections", conns, "inFlight", inflight, "after", time.Since(begin).String())
 }
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -294,7 +294,7 @@
 	b := n.budgets[service]
 	if b == nil {
 		b = retrybudget.New(retrybudget.Limits{
-			Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow,
+			Ratio: n.bounds.Load().RetryRatio, Slack: n.bounds.Load().RetrySlack, Window: n.bounds.Load().RetryWindow,
 		})
 		n.budgets[service] = b
 	}
--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -164,6 +164,11 @@
 		if err := c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout + idleMargin)); err != nil {
 			return time.Time{}, err
 		}
+		// The end of the connection may have been decided just before the
+		// deadline was set, which would undo the wake-up.
+		if c.isClosed() {
+			return time.Time{}, errStopReading
+		}
 		_, err := c.br.Peek(1)
 		if err == nil {
 			return time.Now(), nil
@@ -287,6 +292,19 @@
 	return done
 }
 
+// closeIfIdle ends a connection that has no request in progress.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	idle := c.active == 0 && !c.closed
+	if idle {
+		c.closed = true
+	}
+	c.mu.Unlock()
+	if idle {
+		_ = c.nc.SetReadDeadline(time.Now())
+	}
+}
+
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -38,6 +38,8 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	stopping bool
+	// closing is set once no further request is read.
+	closing  bool
 	inflight int
 	lastDone time.Time
 }
@@ -64,8 +66,15 @@
 		}
 		c := newConn(s, nc)
 		s.mu.Lock()
-		s.conns[c] = struct{}{}
+		closing := s.closing
+		if !closing {
+			s.conns[c] = struct{}{}
+		}
 		s.mu.Unlock()
+		if closing {
+			_ = nc.Close()
+			continue
+		}
 		go c.run()
 	}
 }
@@ -83,6 +92,21 @@
 	return s.stopping
 }
 
+// Close ends connections without a request in progress and makes the others
+// end after their answers. No further request is read.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.stopping, s.closing = true, true
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.closeIfIdle()
+	}
+}
+
 // Activity returns the number of open connections, of requests that are being
 // answered, and for how long there were none of the latter.
 func (s *Server) Activity() (conns, inflight int, idle time.Duration) {
