placement: shorter queues under overload; lapsed servers prove themselves

Ruled out: holding lapsed entries for less time; the rule's time starts at the end of the cut. Change: patience 1.2/1.0/0.85 of the objective (2.2/1.6/1.1 before), no cold spill above half load, lapsed servers get a probe before a request.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -254,6 +254,7 @@
 			continue
 		}
 		s := *e.value
+		s.Lapsed = e.lapsedAt != 0
 		s.ColdUntil = max(s.ColdUntil, c.coldAfterEvacuation(now, &s))
 		v.Servers[s.Service] = append(v.Servers[s.Service], &s)
 	}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -21,6 +21,10 @@
 	// extraWorkCost weighs the extra work of a request at a server that is not
 	// warm for its object: it takes the place of other requests.
 	extraWorkCost = 0.5
+	// coldSpillLoad is the utilization above which a server gets no requests
+	// for objects that it does not know: under overload they would push out the
+	// objects that it is warm for, and every server would do cold work only.
+	coldSpillLoad = 0.5
 	// spillPerRequest is the share of requests that may leave the region that
 	// the flow chose because its servers are full, and spillMax how many may
 	// do so at once. It stays below half of the bound on shifts of 15%.
@@ -42,7 +46,7 @@
 // patience is how many times its objective a request may be expected to take,
 // by rank. Under overload, the least important requests are rejected first, and
 // those that are accepted are still of use to their callers.
-var patience = []float64{2.2, 1.6, 1.1}
+var patience = []float64{1.2, 1.0, 0.85}
 
 func patienceOf(rank int) float64 {
 	return patience[min(max(rank, 0), len(patience)-1)]
@@ -149,6 +153,11 @@
 				}
 				s = newServer(t)
 				s.inflight = inflight
+				s.suspect = t.Lapsed
+			}
+			// After a cut of this VM, a vanished server may have left long ago.
+			if t.Lapsed && !s.told.Lapsed {
+				s.suspect, s.suspendedUntil = true, now
 			}
 			s.told = t
 			s.coldUntil = max(s.coldUntil, t.ColdUntil)
@@ -248,11 +257,29 @@
 	}
 	g.spill = min(spillMax, g.spill+spillPerRequest)
 	best := p.best(now, g, r, r.Region)
-	if verdict := p.judge(r, best); verdict == "" {
+	if p.judge(r, best) == "" {
 		return best
 	}
 	// Elsewhere there may be room, or servers at all.
-	other := best
+	other := p.elsewhere(now, g, r)
+	if best.Server == nil {
+		best = other
+	}
+	switch {
+	case p.judge(r, best) == "":
+		return best
+	case p.judge(r, other) == "" && g.spill >= 1:
+		g.spill--
+		return other
+	default:
+		return p.reject(r, best)
+	}
+}
+
+// elsewhere returns the choice with the shortest expected time in the regions
+// that the flow did not choose.
+func (p *Picker) elsewhere(now time.Duration, g *group, r *Request) Choice {
+	var other Choice
 	for region := range g.byRegion {
 		if region == r.Region {
 			continue
@@ -261,16 +288,7 @@
 			other = c
 		}
 	}
-	if other.Server != nil && p.judge(r, other) == "" && (best.Server == nil || g.spill >= 1) {
-		if best.Server != nil {
-			g.spill--
-		}
-		return other
-	}
-	if p.judge(r, best) == Overloaded && p.judge(r, other) == "" {
-		return best
-	}
-	return p.reject(r, best)
+	return other
 }
 
 // judge returns why a choice is not good enough; empty if it is.
@@ -322,6 +340,8 @@
 			work = c.warm
 		case s == second:
 			work = (c.cold + c.warm) / 2
+		case s.load(now) > coldSpillLoad*float64(s.told.Slots):
+			continue
 		}
 		work *= s.slow
 		wait := p.waitMS(now, g, s)
--- a/core/steering/config.go
+++ b/core/steering/config.go
@@ -168,6 +168,9 @@
 	Slots   int
 	// Draining servers get no new requests.
 	Draining bool
+	// Lapsed servers have lost their entry, maybe because they could not renew
+	// it. They get requests only if they say themselves that they are well.
+	Lapsed bool
 	// ColdUntil is the end of the cold time on the clock of this process, as
 	// known when the entry was read.
 	ColdUntil time.Duration
