exchange: two hubs follow the store and relay its changes

Change: digests carry sums instead of a part for each account; they are spread over the interval; an entry is removed after 90 s, and a VM writes its entry again if it is gone; hubs are the VMs with the widest links, pulse the versions that they hold, and the others read changes from them.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -1,18 +1,24 @@
 // Package exchange is the protocol by which the VMs of a fleet tell each other
-// what they are asked for. Each VM reports to two hubs, the first two VMs in
-// an order that all compute alike; the first hub that lives answers each VM
-// with a digest: who is alive, its part of each account's rate, and the demand
-// of each region. Messages grow with the number of VMs, not with its square.
+// what they are asked for and what the platform's store holds.
 //
-// Any VM may be a hub; nothing is elected. If two VMs take themselves for the
-// first hub, their digests differ for a while, and the tolerance of the rates
-// covers it. A VM that hears no digest uses an equal part, which the hubs keep
+// Two VMs are hubs: the first two that live in an order which all compute
+// alike. Each VM reports to both; the first one answers with a digest: who does
+// not live, what each account and region asks for. Both hubs follow the
+// platform's store and pulse the versions of its tables, so that the other VMs
+// read from a hub what has changed and call the store only when no hub is
+// sound. Messages grow with the number of VMs, not with its square, and the
+// calls to the store not at all.
+//
+// Any VM may be a hub; nothing is elected. If VMs differ about who is, some
+// read the store that need not, and the tolerance of the rates covers differing
+// digests. A VM that hears no digest uses an equal part, which the hub keeps
 // free for it.
 package exchange
 
 import (
+	"cmp"
+	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,17 +27,30 @@
 )
 
 const (
-	// SilentAfter is without a report for how long a VM counts as not alive.
-	// It covers four lost reports at the shortest interval.
-	SilentAfter = 2500 * time.Millisecond
-	// DigestValid is for how long a VM uses a digest.
-	DigestValid = 3 * time.Second
+	// SilentIntervals is for how many intervals without a report a VM counts
+	// as not alive, and minSilent the least time for that.
+	SilentIntervals = 4
+	minSilent       = 2500 * time.Millisecond
 	// GoneAfter is without a report for how long a VM's entry is removed.
-	GoneAfter = 20 * time.Second
+	GoneAfter = 90 * time.Second
+	// PulseInterval is the time between two pulses of a hub.
+	PulseInterval = 500 * time.Millisecond
+	// pulseValid is for how long a pulse shows that its hub is sound: two may
+	// be lost. It is well below the time in which a change must be in force.
+	pulseValid = 1300 * time.Millisecond
 	// minInterval is the interval of reports in a small fleet.
 	minInterval = 500 * time.Millisecond
 	// intervalPerVM bounds the digests that a hub sends to 80 per second.
 	intervalPerVM = 12 * time.Millisecond
+	// hubCount VMs are hubs, so that one may fail without a gap.
+	hubCount = 2
+	// searchCount VMs get each report while no hub is known.
+	searchCount = 4
+	// keptReports of this VM are remembered until a digest confirms one.
+	keptReports = 16
+	// deafShare of the fleet silent at once means that the hub does not hear,
+	// rather than that they all died.
+	deafShare = 0.6
 )
 
 // Interval returns the time between two reports of a VM.
@@ -39,12 +58,22 @@
 	return max(minInterval, time.Duration(vms)*intervalPerVM)
 }
 
+// silentAfter is without a report for how long a VM counts as not alive.
+func silentAfter(vms int) time.Duration { return max(minSilent, SilentIntervals*Interval(vms)) }
+
+// digestValid is for how long a VM uses a digest.
+func digestValid(vms int) time.Duration { return silentAfter(vms) + Interval(vms) }
+
+// hubTimeout is after how long without a digest the next hub is believed.
+func hubTimeout(vms int) time.Duration { return 3 * Interval(vms) }
+
 // Report is what a VM tells the hubs.
 type Report struct {
 	VM     string `json:"vm"`
 	Region string `json:"region"`
-	Born   int64  `json:"born"`
-	Seq    uint64 `json:"seq"`
+	// Born and Seq order the reports of one VM.
+	Born int64  `json:"born"`
+	Seq  uint64 `json:"seq"`
 	// Demand is in requests per second for each client account, the rejected
 	// ones included.
 	Demand map[string]float64 `json:"demand,omitempty"`
@@ -54,18 +83,20 @@
 	Unready bool `json:"unready,omitempty"`
 }
 
-// Digest is what a hub tells a VM.
+// Digest is what the first hub tells a VM.
 type Digest struct {
-	Hub string `json:"hub"`
-	// Born and Seq order the digests of one hub.
+	Hub  string `json:"hub"`
 	Born int64  `json:"born"`
 	Seq  uint64 `json:"seq"`
-	// Alive are the VMs that reported lately and are ready.
-	Alive []string `json:"alive"`
-	// Parts are this VM's fractions of the accounts' rates; an account that is
-	// missing is divided equally among Size VMs.
-	Parts map[string]float64 `json:"parts,omitempty"`
-	Size  int                `json:"size"`
+	// Ack is the newest report of the receiver that the digest counts.
+	Ack uint64 `json:"ack"`
+	// Silent VMs did not report lately, Unready ones take no callers.
+	Silent  []string `json:"silent,omitempty"`
+	Unready []string `json:"unready,omitempty"`
+	// Demand is the sum over the live VMs for each account.
+	Demand map[string]float64 `json:"demand,omitempty"`
+	Live   int                `json:"live"`
+	Size   int                `json:"size"`
 	// Work is the demand in busy slots by region and service.
 	Work map[string]map[string]float64 `json:"work,omitempty"`
 	// Settled is set once the hub has listened long enough to know who is not
@@ -73,14 +104,40 @@
 	Settled bool `json:"settled,omitempty"`
 }
 
-// Rates returns the rate of a client account, 0 if it has none.
-type Rates func(account string) float64
+// Versions are the newest versions of the store's tables that a VM holds.
+type Versions struct {
+	Operator uint64 `json:"operator"`
+	Servers  uint64 `json:"servers"`
+	VMs      uint64 `json:"vms"`
+}
+
+// Pulse is what each hub tells all VMs several times a second.
+type Pulse struct {
+	Hub      string   `json:"hub"`
+	Born     int64    `json:"born"`
+	Seq      uint64   `json:"seq"`
+	Versions Versions `json:"versions"`
+	// Sound hubs were answered by the store a moment ago.
+	Sound bool `json:"sound,omitempty"`
+}
+
+// Member is one VM of the roster.
+type Member struct {
+	Name string
+	// Weight orders the hubs: those with the highest weight come first.
+	Weight float64
+}
 
 type member struct {
 	report Report
 	heard  time.Duration
 }
 
+type pulse struct {
+	Pulse
+	heard time.Duration
+}
+
 // Machine is the state of one VM, as a member and as a possible hub. It is not
 // safe for concurrent use.
 type Machine struct {
@@ -89,7 +146,9 @@
 	started time.Duration
 	roster  []string
 	seq     uint64
+	reports map[uint64]map[string]float64
 	members map[string]*member
+	pulses  map[string]*pulse
 	digest  Digest
 	rank    int
 	heardAt time.Duration
@@ -98,48 +157,54 @@
 
 // New returns the machine of a VM that starts now.
 func New(self string, born int64, now time.Duration) *Machine {
-	return &Machine{self: self, born: born, started: now, members: make(map[string]*member)}
+	return &Machine{
+		self: self, born: born, started: now, reports: make(map[uint64]map[string]float64),
+		members: make(map[string]*member), pulses: make(map[string]*pulse),
+	}
 }
 
 // SetRoster replaces the VMs that have an entry in the store.
-func (m *Machine) SetRoster(vms []string) {
+func (m *Machine) SetRoster(vms []Member) {
 	roster := slices.Clone(vms)
-	if !slices.Contains(roster, m.self) {
-		roster = append(roster, m.self)
-	}
-	slices.SortFunc(roster, func(a, b string) int {
-		ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b)
-		switch {
-		case ha < hb:
-			return -1
-		case ha > hb:
-			return 1
-		default:
-			return strings.Compare(a, b)
-		}
+	slices.SortFunc(roster, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight),
+			cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	m.roster = roster
+	m.roster = m.roster[:0]
+	present := make(map[string]bool, len(roster))
+	for _, vm := range roster {
+		m.roster = append(m.roster, vm.Name)
+		present[vm.Name] = true
+	}
 	for vm := range m.members {
-		if !slices.Contains(roster, vm) {
+		if !present[vm] {
 			delete(m.members, vm)
 		}
 	}
+	for vm := range m.pulses {
+		if !present[vm] {
+			delete(m.pulses, vm)
+		}
+	}
 }
 
 // Size returns the number of VMs in the roster, at least 1.
 func (m *Machine) Size() int { return max(1, len(m.roster)) }
 
-// Hubs returns the VMs to report to now: the first two of the roster that are
-// not known to be silent. Without a digest, which VMs live is not known and
-// the window moves along the roster, so that a living hub is found.
+// Hubs returns the VMs to report to now.
 func (m *Machine) Hubs(now time.Duration) []string {
-	var hubs []string
-	digest, fresh := m.Digest(now)
-	if !fresh || !digest.Settled {
-		return m.searchWindow(now)
+	if digest, fresh := m.Digest(now); fresh && digest.Settled {
+		return m.firstLive(digest)
 	}
+	return m.search(now)
+}
+
+// firstLive returns the first VMs of the roster that are not known to be
+// silent.
+func (m *Machine) firstLive(d Digest) []string {
+	var hubs []string
 	for _, vm := range m.roster {
-		if vm == digest.Hub || slices.Contains(digest.Alive, vm) {
+		if vm == d.Hub || !slices.Contains(d.Silent, vm) {
 			if hubs = append(hubs, vm); len(hubs) == hubCount {
 				break
 			}
@@ -148,18 +213,13 @@
 	return hubs
 }
 
-const (
-	// hubCount VMs get each report, so that one may fail without a gap.
-	hubCount = 2
-	// searchCount VMs get each report while no hub is known.
-	searchCount = 4
-)
-
-func (m *Machine) searchWindow(now time.Duration) []string {
+// search returns the VMs to try while no hub is known. The window moves along
+// the roster, so that a living hub is found.
+func (m *Machine) search(now time.Duration) []string {
 	if len(m.roster) == 0 {
 		return nil
 	}
-	since := max(0, now-max(m.heardAt, m.started)-DigestValid)
+	since := max(0, now-max(m.heardAt, m.started)-digestValid(len(m.roster)))
 	skip := int(since/time.Second) * hubCount % len(m.roster)
 	var hubs []string
 	for i := range min(searchCount, len(m.roster)) {
@@ -168,12 +228,81 @@
 	return hubs
 }
 
+// IsHub reports whether this VM follows the store for others.
+func (m *Machine) IsHub(now time.Duration) bool {
+	hubs := m.Hubs(now)
+	return slices.Contains(hubs[:min(len(hubs), hubCount)], m.self)
+}
+
+// Source returns the first hub that is sound and the versions it holds.
+func (m *Machine) Source(now time.Duration) (Pulse, bool) {
+	for _, vm := range m.roster {
+		if p := m.pulses[vm]; p != nil && vm != m.self && p.Sound && now-p.heard < pulseValid {
+			return p.Pulse, true
+		}
+	}
+	return Pulse{}, false
+}
+
+// Reads reports whether this VM must follow the store itself.
+func (m *Machine) Reads(now time.Duration) bool {
+	if m.IsHub(now) {
+		return true
+	}
+	_, ok := m.Source(now)
+	return !ok
+}
+
+// Pulse returns this VM's next pulse.
+func (m *Machine) Pulse(v Versions, sound bool) Pulse {
+	m.seq++
+	return Pulse{Hub: m.self, Born: m.born, Seq: m.seq, Versions: v, Sound: sound}
+}
+
+// HandlePulse takes a pulse of a hub.
+func (m *Machine) HandlePulse(now time.Duration, p Pulse) {
+	if !slices.Contains(m.roster, p.Hub) {
+		return
+	}
+	old := m.pulses[p.Hub]
+	if old != nil && (p.Born < old.Born || p.Born == old.Born && p.Seq <= old.Seq) {
+		return
+	}
+	m.pulses[p.Hub] = &pulse{p, now}
+}
+
+// DropSource forgets the pulses of a hub that did not answer a call.
+func (m *Machine) DropSource(hub string) {
+	if p := m.pulses[hub]; p != nil {
+		p.Sound = false
+	}
+}
+
 // Report returns this VM's next report.
 func (m *Machine) Report(region string, demand, work map[string]float64, ready bool) Report {
 	m.seq++
+	demand, work = rounded(demand), rounded(work)
+	m.reports[m.seq] = demand
+	for seq := range m.reports {
+		if len(m.reports) > keptReports && seq+4*keptReports < m.seq {
+			delete(m.reports, seq)
+		}
+	}
 	return Report{VM: m.self, Region: region, Born: m.born, Seq: m.seq, Demand: demand, Work: work, Unready: !ready}
 }
 
+// rounded keeps messages short: a tenth of a request per second is less than
+// what any bound distinguishes.
+func rounded(values map[string]float64) map[string]float64 {
+	out := make(map[string]float64, len(values))
+	for k, v := range values {
+		if v = math.Round(v*10) / 10; v > 0 {
+			out[k] = v
+		}
+	}
+	return out
+}
+
 // HandleReport takes a report of a VM, this one included.
 func (m *Machine) HandleReport(now time.Duration, r Report) {
 	old := m.members[r.VM]
@@ -199,25 +328,47 @@
 	m.digest, m.rank, m.heardAt, m.heard = d, rank, now, true
 }
 
-// hubTimeout is after how long without a digest the next hub is believed.
-func hubTimeout(vms int) time.Duration { return 3 * Interval(vms) }
-
 // Digest returns the newest digest and whether it may still be used.
 func (m *Machine) Digest(now time.Duration) (Digest, bool) {
-	return m.digest, m.heard && now-m.heardAt < DigestValid
+	return m.digest, m.heard && now-m.heardAt < digestValid(len(m.roster))
+}
+
+// Part returns this VM's fraction of an account's rate.
+func (m *Machine) Part(now time.Duration, account string, rate float64) float64 {
+	d, fresh := m.Digest(now)
+	if !fresh {
+		return 1 / float64(m.Size())
+	}
+	// Silent VMs keep an equal part each, which is what they use without a
+	// digest.
+	free := float64(d.Live) / float64(max(1, d.Size))
+	return free * ratelimit.Part(rate*free, m.reports[d.Ack][account], d.Demand[account], d.Live)
 }
 
-// Leads reports whether this VM is the hub that answers now: it is the first
-// hub, or the ones before it are silent.
+// Callable reports whether callers may be sent to a VM, as far as the digest
+// tells; known is false while it does not tell.
+func (m *Machine) Callable(now time.Duration) (callable func(vm string) bool, known bool) {
+	d, fresh := m.Digest(now)
+	if !fresh || !d.Settled || float64(len(d.Silent)) > deafShare*float64(d.Size) {
+		return nil, false
+	}
+	return func(vm string) bool {
+		return !slices.Contains(d.Silent, vm) && !slices.Contains(d.Unready, vm)
+	}, true
+}
+
+// Leads reports whether this VM is the hub that sends digests now: it is the
+// first hub, or the ones before it are silent.
 func (m *Machine) Leads(now time.Duration) bool {
 	if len(m.members) == 0 {
 		return false
 	}
+	silent := silentAfter(len(m.roster))
 	for _, vm := range m.roster {
 		if vm == m.self {
 			return true
 		}
-		if other := m.members[vm]; other != nil && now-other.heard < SilentAfter {
+		if other := m.members[vm]; other != nil && now-other.heard < silent {
 			return false
 		}
 		if m.heard && m.digest.Hub == vm && now-m.heardAt < hubTimeout(len(m.roster)) {
@@ -227,78 +378,50 @@
 	return false
 }
 
-// Digests returns a digest for each VM that reported lately.
-func (m *Machine) Digests(now time.Duration, rates Rates) map[string]Digest {
-	var live, silent []string
-	for _, vm := range m.roster {
-		if o := m.members[vm]; o != nil && now-o.heard < SilentAfter {
-			live = append(live, vm)
-		} else {
-			silent = append(silent, vm)
-		}
-	}
+// Digests returns a digest for each VM that reported lately; they differ only
+// in the report that they confirm.
+func (m *Machine) Digests(now time.Duration) map[string]Digest {
+	silentAfter := silentAfter(len(m.roster))
 	m.seq++
 	base := Digest{
-		Hub: m.self, Born: m.born, Seq: m.seq, Size: m.Size(), Work: m.work(live),
-		Settled: now-m.started > SilentAfter,
-	}
-	for _, vm := range live {
-		if !m.members[vm].report.Unready {
-			base.Alive = append(base.Alive, vm)
-		}
-	}
-	parts := m.parts(live, len(silent), rates)
-	digests := make(map[string]Digest, len(live))
-	for i, vm := range live {
-		d := base
-		d.Parts = parts[i]
-		digests[vm] = d
-	}
-	return digests
-}
-
-// parts divides each account's rate; silent VMs keep an equal part each, which
-// is what they use without a digest.
-func (m *Machine) parts(live []string, silent int, rates Rates) []map[string]float64 {
-	parts := make([]map[string]float64, len(live))
-	accounts := make(map[string]bool)
-	for i, vm := range live {
-		parts[i] = make(map[string]float64)
-		for a := range m.members[vm].report.Demand {
-			accounts[a] = true
-		}
+		Hub: m.self, Born: m.born, Seq: m.seq, Size: m.Size(), Settled: now-m.started > silentAfter,
+		Demand: make(map[string]float64), Work: make(map[string]map[string]float64),
 	}
-	free := 1 - float64(silent)/float64(m.Size())
-	demands := make([]float64, len(live))
-	for account := range accounts {
-		rate := rates(account)
-		if rate <= 0 {
+	digests := make(map[string]Digest, len(m.roster))
+	for _, vm := range m.roster {
+		o := m.members[vm]
+		if o == nil || now-o.heard >= silentAfter {
+			base.Silent = append(base.Silent, vm)
 			continue
 		}
-		for i, vm := range live {
-			demands[i] = m.members[vm].report.Demand[account]
+		base.Live++
+		if o.report.Unready {
+			base.Unready = append(base.Unready, vm)
 		}
-		for i, part := range ratelimit.Divide(rate*free, demands) {
-			parts[i][account] = part * free
+		add(base.Demand, o.report.Demand)
+		if base.Work[o.report.Region] == nil {
+			base.Work[o.report.Region] = make(map[string]float64)
 		}
+		add(base.Work[o.report.Region], o.report.Work)
+	}
+	base.Demand = rounded(base.Demand)
+	for region, work := range base.Work {
+		base.Work[region] = rounded(work)
 	}
-	return parts
+	for _, vm := range m.roster {
+		if o := m.members[vm]; o != nil && now-o.heard < silentAfter {
+			d := base
+			d.Ack = o.report.Seq
+			digests[vm] = d
+		}
+	}
+	return digests
 }
 
-func (m *Machine) work(live []string) map[string]map[string]float64 {
-	work := make(map[string]map[string]float64)
-	for _, vm := range live {
-		r := m.members[vm].report
-		byService := work[r.Region]
-		if byService == nil {
-			byService = make(map[string]float64)
-			work[r.Region] = byService
-		}
-		for service, w := range r.Work {
-			byService[service] += w
-		}
+func add(sum, values map[string]float64) {
+	for k, v := range values {
+		sum[k] += v
 	}
-	return work
 }
 
 // Gone returns the VMs whose entries may be removed from the store. Only the
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -58,31 +58,23 @@
 	}
 }
 
-// Divide returns the fraction of a rate for each of the demands, in requests
-// per second. Demands that fit are met and the rest of the rate is divided
-// equally, so that a VM to which callers move has room at once. Demands that
-// do not fit are met in proportion, apart from a small equal part.
-func Divide(rate float64, demands []float64) []float64 {
-	n := float64(len(demands))
-	parts := make([]float64, len(demands))
-	if n == 0 {
-		return parts
-	}
-	var sum float64
-	for _, d := range demands {
-		sum += d
-	}
-	for i, d := range demands {
-		switch {
-		case rate <= 0 || sum <= 0:
-			parts[i] = 1 / n
-		case sum <= rate*(1-equalPart):
-			parts[i] = (d + (rate-sum)/n) / rate
-		default:
-			parts[i] = (1-equalPart)*d/sum + equalPart/n
-		}
+// Part returns the fraction of a rate that a VM may use: demand is what it is
+// asked for, sum what all VMs are asked for, in requests per second, and vms
+// their number. The fractions of all VMs add up to 1.
+//
+// Demands that fit are met and the rest of the rate is divided equally, so that
+// a VM to which callers move has room at once. Demands that do not fit are met
+// in proportion, apart from a small equal part.
+func Part(rate, demand, sum float64, vms int) float64 {
+	n := float64(max(1, vms))
+	switch {
+	case rate <= 0 || sum <= 0:
+		return 1 / n
+	case sum <= rate*(1-equalPart):
+		return (demand + (rate-sum)/n) / rate
+	default:
+		return (1-equalPart)*demand/sum + equalPart/n
 	}
-	return parts
 }
 
 // equalPart of a rate goes to all VMs alike also when demand exceeds it, so
--- a/core/steering/config.go
+++ b/core/steering/config.go
@@ -187,6 +187,8 @@
 	Exchange string
 	// Born identifies one start of the process, in Unix nanoseconds.
 	Born int64
+	// Weight is higher for VMs that can carry more.
+	Weight float64
 	// Leaving VMs finish what they hold and get no new callers.
 	Leaving bool
 }
--- a/entry/gateway/directory.go
+++ b/entry/gateway/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/directory"
@@ -18,12 +17,8 @@
 	query := adapter.ReadResolveQuery(r)
 	view := n.view.Load()
 	n.mu.Lock()
-	digest, fresh := n.peers.Digest(n.now())
+	alive, _ := n.peers.Callable(n.now())
 	n.mu.Unlock()
-	var alive func(vm string) bool
-	if fresh && digest.Settled {
-		alive = func(vm string) bool { return slices.Contains(digest.Alive, vm) }
-	}
 	addresses := directory.Addresses(view.VMs, alive, query.Region, query.FailureDomain)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"reflect"
@@ -49,8 +50,24 @@
 	stopping atomic.Bool
 	// operatorLost is set while the operator's rows cannot be read.
 	operatorLost atomic.Bool
-	udp          *net.UDPConn
-	failures     chan error
+	// serversLost is set while the backend servers' entries cannot be read.
+	serversLost atomic.Bool
+	// registering and registered tell about this VM's own entry.
+	registering, registered atomic.Bool
+	// storeHeard is when the store answered last, as a time.Duration.
+	storeHeard atomic.Int64
+	relay      *http.Client
+	mirrors    *mirrors
+	watchers   map[string]*watcher
+	// relayWake and pulseWake make their loops run at once.
+	relayWake, pulseWake chan struct{}
+
+	feedMu     sync.Mutex
+	feedCtx    context.Context
+	feedCancel context.CancelFunc
+
+	udp      *net.UDPConn
+	failures chan error
 
 	mu      sync.Mutex
 	catalog *catalog.Catalog
@@ -74,8 +91,9 @@
 		settings: settings, log: log, start: start, metrics: telemetry.New(start),
 		store:    adapter.NewStore(settings.StoreAddress, newStoreTransport()),
 		pool:     upstream.NewPool(newServerDialer()),
-		failures: make(chan error, 1),
-		catalog:  catalog.New(), picker: placement.New(settings.VM, settings.Region),
+		failures: make(chan error, 1), relay: newRelayClient(), mirrors: newMirrors(),
+		relayWake: make(chan struct{}, 1), pulseWake: make(chan struct{}, 1),
+		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
 		peers: exchange.New(settings.VM, start.UnixNano(), 0), vms: 1,
 		buckets: make(map[string]*ratelimit.Bucket), budgets: make(map[string]*retrybudget.Budget),
 		flows: make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
@@ -83,6 +101,11 @@
 	}
 	n.bounds.Store(&settings.Bounds)
 	n.view.Store(&catalog.View{})
+	n.storeHeard.Store(math.MinInt64 / 2)
+	n.resetFeeds()
+	n.watchers = map[string]*watcher{
+		adapter.TableOperator: n.operatorWatcher(), adapter.TableServers: n.serversWatcher(), adapter.TableVMs: n.vmsWatcher(),
+	}
 	n.ingress = ingress.NewServer(&handler{n})
 	return n
 }
@@ -109,10 +132,13 @@
 	n.log.Info("started", "vm", n.settings.VM, "failureDomain", n.settings.FailureDomain, "region", n.settings.Region)
 	var background sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watchOperator, n.watchServers, n.watchVMs, n.registerVM, n.receivePeers, n.exchangeLoop, n.tickLoop,
+		n.registerVM, n.receivePeers, n.exchangeLoop, n.pulseLoop, n.relayLoop, n.tickLoop,
 	} {
 		background.Go(func() { run(ctx) })
 	}
+	for _, w := range n.watchers {
+		background.Go(func() { n.follow(ctx, w) })
+	}
 	var err error
 	select {
 	case <-stop:
@@ -150,6 +176,10 @@
 	if err != nil {
 		return err
 	}
+	exchange, err := open(n.exchangeAddress())
+	if err != nil {
+		return err
+	}
 	address, err := net.ResolveUDPAddr("udp", n.exchangeAddress())
 	if err != nil {
 		return errors.Wrap(ErrListen, err.Error())
@@ -165,6 +195,7 @@
 		n.serve(directory, adapter.PathResolve, http.HandlerFunc(n.resolve))
 	}
 	n.serve(ready, adapter.PathReady, http.HandlerFunc(n.readiness))
+	n.serve(exchange, pathChanges, http.HandlerFunc(n.serveChanges))
 	n.serve(metrics, "/metrics", n.metrics.Prometheus())
 	go func() {
 		if err := n.ingress.Serve(front); err != nil {
@@ -220,6 +251,10 @@
 		if n.catalog.Expire(now) {
 			n.rebuild(now)
 		}
+		if view := n.view.Load(); n.registered.Load() && view.Ready && view.VMs[n.settings.VM] == nil && !n.stopping.Load() {
+			n.registered.Store(false)
+			go n.registerVM(ctx)
+		}
 		n.stepFlows(now)
 		probes := n.picker.Probes(now)
 		n.mu.Unlock()
@@ -240,20 +275,19 @@
 	for _, gone := range n.picker.Update(now, view.Config.Services, view.Servers) {
 		go n.pool.Forget(gone.ID)
 	}
-	roster := make([]string, 0, len(view.VMs))
-	for name := range view.VMs {
-		roster = append(roster, name)
+	roster := make([]exchange.Member, 0, len(view.VMs))
+	for name, vm := range view.VMs {
+		roster = append(roster, exchange.Member{Name: name, Weight: vm.Weight})
 	}
 	n.peers.SetRoster(roster)
 	n.vms = n.peers.Size()
-	n.picker.SetVMs(now, roster)
+	n.picker.SetVMs(now, sortedKeys(view.VMs))
 	n.setRates(now, view)
 }
 
 // setRates gives each account's bucket this VM's part of its rate; the caller
 // holds mu.
 func (n *Node) setRates(now time.Duration, view *catalog.View) {
-	digest, fresh := n.peers.Digest(now)
 	for name, a := range view.Config.Accounts {
 		b := n.buckets[name]
 		if a.Rate <= 0 {
@@ -264,10 +298,7 @@
 			b = &ratelimit.Bucket{}
 			n.buckets[name] = b
 		}
-		part, known := digest.Parts[name]
-		if !fresh || !known {
-			part = 1 / float64(n.vms)
-		}
+		part := n.peers.Part(now, name, a.Rate)
 		b.Set(now, a.Rate*part, max(1, a.Burst*part))
 	}
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/cassiawind/cassiawind/core/catalog"
 	"github.com/cassiawind/cassiawind/core/exchange"
 )
 
@@ -16,6 +17,7 @@
 type datagram struct {
 	Report *exchange.Report `json:"report,omitempty"`
 	Digest *exchange.Digest `json:"digest,omitempty"`
+	Pulse  *exchange.Pulse  `json:"pulse,omitempty"`
 }
 
 // receivePeers takes the messages of the other VMs.
@@ -47,6 +49,10 @@
 	if d.Report != nil {
 		n.peers.HandleReport(now, *d.Report)
 	}
+	if d.Pulse != nil {
+		n.peers.HandlePulse(now, *d.Pulse)
+		wake(n.relayWake)
+	}
 	if d.Digest != nil {
 		n.peers.HandleDigest(now, *d.Digest)
 		if view := n.view.Load(); view.Config != nil {
@@ -83,29 +89,76 @@
 		}
 		gone := n.goneVMs(now)
 		n.mu.Unlock()
-		for vm, d := range out {
-			if target := view.VMs[vm]; target != nil {
-				n.send(target.Exchange, d)
-			}
-		}
 		for name, version := range gone {
 			n.removeVM(ctx, name, version)
 		}
-		n.sleep(ctx, interval)
+		begin := n.now()
+		n.spread(ctx, view, out, interval)
+		n.sleep(ctx, interval-(n.now()-begin))
+	}
+}
+
+// burst messages are sent at once; more would overflow the queue of a slow
+// link.
+const burst = 16
+
+// spread sends messages over three quarters of an interval.
+func (n *Node) spread(ctx context.Context, view *catalog.View, out map[string]datagram, interval time.Duration) {
+	pause := interval * 3 / 4 / time.Duration(len(out)/burst+1)
+	sent := 0
+	for vm, d := range out {
+		target := view.VMs[vm]
+		if target == nil {
+			continue
+		}
+		if sent++; sent%burst == 0 {
+			n.sleep(ctx, pause)
+		}
+		n.send(target.Exchange, d)
+	}
+}
+
+// pulseLoop tells the other VMs, as a hub, what the store holds.
+func (n *Node) pulseLoop(ctx context.Context) {
+	timer := time.NewTimer(exchange.PulseInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-n.pulseWake:
+			// Changes that come together take one pulse.
+			n.sleep(ctx, pulsePause)
+		}
+		timer.Reset(exchange.PulseInterval)
+		versions, _ := n.mirrors.versions()
+		sound := n.sound()
+		n.mu.Lock()
+		hub := n.peers.IsHub(n.now()) && !n.stopping.Load()
+		pulse := n.peers.Pulse(versions, sound)
+		n.mu.Unlock()
+		if !hub {
+			continue
+		}
+		view := n.view.Load()
+		for name, vm := range view.VMs {
+			if name != n.settings.VM {
+				n.send(vm.Exchange, datagram{Pulse: &pulse})
+			}
+		}
 	}
 }
 
+// pulsePause is the least time between a change and the pulse that tells it.
+const pulsePause = 20 * time.Millisecond
+
 func (n *Node) leadDigests(now time.Duration) map[string]exchange.Digest {
 	view := n.view.Load()
 	if view.Config == nil || !n.peers.Leads(now) {
 		return nil
 	}
-	return n.peers.Digests(now, func(account string) float64 {
-		if a := view.Config.Accounts[account]; a != nil {
-			return a.Rate
-		}
-		return 0
-	})
+	return n.peers.Digests(now)
 }
 
 func (n *Node) goneVMs(now time.Duration) map[string]uint64 {
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -15,12 +15,19 @@
 )
 
 const (
-	// feedWait is how long the store holds an unanswered feed. A keep-alive
-	// finds a silent connection sooner; this bounds a store that accepts and
-	// does not answer.
-	feedWait = 10 * time.Second
-	// feedSlack is added to feedWait before a feed counts as lost.
-	feedSlack = 1500 * time.Millisecond
+	// operatorWait and entryWait are how long the store holds an unanswered
+	// feed. The feed of the operator's table also shows that the store is
+	// there, so it is short; its failure ends the others.
+	operatorWait = 700 * time.Millisecond
+	entryWait    = 10 * time.Second
+	// operatorSlack and entrySlack are added before a feed counts as lost.
+	operatorSlack = 500 * time.Millisecond
+	entrySlack    = 1500 * time.Millisecond
+	// soundFor is for how long an answer shows that the store is there.
+	soundFor = operatorWait + operatorSlack + operatorPause
+	// followPause is the interval at which a VM that reads from a hub looks
+	// whether the hub is still sound.
+	followPause = 150 * time.Millisecond
 	// readTimeout bounds a full read of a table.
 	readTimeout = 3 * time.Second
 	// writeTimeout bounds a write.
@@ -37,28 +44,42 @@
 // watcher follows one table of the store.
 type watcher struct {
 	table string
-	pause time.Duration
-	// load takes a full read and reports whether it was used.
-	load func(now time.Duration, rows adapter.Rows) bool
-	// apply takes changed rows.
+	// pause is the least time between two feeds, wait how long the store holds
+	// one and slack what is added before it counts as lost.
+	pause, wait, slack time.Duration
+	// stale is set once the history after the known version is gone.
+	stale bool
+	// load takes a full read and reports whether it was used; apply takes
+	// changed rows. Node.mu is held.
+	load  func(now time.Duration, rows adapter.Rows) bool
 	apply func(now time.Duration, rows []adapter.Row)
 	// lost and regained tell whether the table can be read.
 	lost, regained func()
 }
 
-// follow reads the table and then its changes until ctx ends.
-func (n *Node) follow(ctx context.Context, w watcher) {
-	var after uint64
-	loaded, lost := false, false
+// follow reads the table and then its changes until ctx ends. While a hub is
+// sound and this VM is none, it waits: relayLoop reads from the hub.
+func (n *Node) follow(ctx context.Context, w *watcher) {
+	lost := false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		rows, full, err := n.next(ctx, w.table, loaded, after)
+		after, loaded := n.mirrors.version(w.table)
+		if loaded && !n.reads() {
+			if lost {
+				lost = false
+				n.log.Info("store replaced by a hub", "table", w.table, "version", after)
+				w.regained()
+			}
+			n.sleep(ctx, followPause)
+			continue
+		}
+		rows, full, err := n.next(ctx, w, loaded && !w.stale, after)
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, adapter.ErrHistoryGone) {
 			n.log.Info("history of the store is gone, reading in full", "table", w.table, "version", after)
-			loaded = false
+			w.stale = true
 			n.sleep(ctx, jitter(firstBackoff))
 			continue
 		}
@@ -69,45 +90,114 @@
 				w.lost()
 			}
 			n.metrics.Count(1, "store_calls", w.table, "failed")
+			n.resetFeeds()
 			n.sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		n.metrics.Count(1, "store_calls", w.table, "ok")
 		backoff = firstBackoff
+		if w.table == adapter.TableOperator {
+			n.storeHeard.Store(int64(n.now()))
+		}
 		if lost {
 			lost = false
 			n.log.Info("store regained", "table", w.table, "version", rows.Version)
 			w.regained()
 		}
+		if !n.take(w, full, rows) {
+			n.log.Info("full read of the store is older than what is known", "table", w.table, "read", rows.Version, "known", after)
+			n.sleep(ctx, jitter(2*firstBackoff))
+			continue
+		}
 		if full {
-			if !w.load(n.now(), rows) {
-				n.log.Info("full read of the store is older than what is known", "table", w.table, "read", rows.Version, "known", after)
-				n.sleep(ctx, jitter(2*firstBackoff))
-				continue
-			}
-			loaded = true
-		} else if len(rows.Rows) > 0 {
-			w.apply(n.now(), rows.Rows)
+			w.stale = false
 		}
-		after = max(after, rows.Version)
 		if full || len(rows.Rows) > 0 {
 			n.sleep(ctx, w.pause)
 		}
 	}
 }
 
+// take puts rows in force that came from the store or from a hub. It reports
+// false for a full read that is older than what is known.
+func (n *Node) take(w *watcher, full bool, rows adapter.Rows) bool {
+	now := n.now()
+	n.mu.Lock()
+	used := true
+	if full {
+		used = w.load(now, rows)
+	} else if len(rows.Rows) > 0 {
+		w.apply(now, rows.Rows)
+	}
+	if used && (full || len(rows.Rows) > 0) {
+		n.rebuild(now)
+	}
+	n.mu.Unlock()
+	if !used {
+		return false
+	}
+	before, _ := n.mirrors.version(w.table)
+	n.mirrors.take(w.table, full, rows)
+	if after, _ := n.mirrors.version(w.table); after > before {
+		wake(n.pulseWake)
+	}
+	return true
+}
+
+// wake makes the receiver of a channel run once more.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// reads reports whether this VM must follow the store itself.
+func (n *Node) reads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.Reads(n.now())
+}
+
+// sound reports whether the store answered this VM a moment ago and all tables
+// were read.
+func (n *Node) sound() bool {
+	_, loaded := n.mirrors.versions()
+	return loaded && n.now()-time.Duration(n.storeHeard.Load()) < soundFor && !n.operatorLost.Load() && !n.serversLost.Load()
+}
+
+// resetFeeds ends the feeds that wait for an answer: where one connection to
+// the store went silent, the others may have as well.
+func (n *Node) resetFeeds() {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	if n.feedCancel != nil {
+		n.feedCancel()
+	}
+	n.feedCtx, n.feedCancel = context.WithCancel(context.Background())
+}
+
+func (n *Node) feedContext() context.Context {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	return n.feedCtx
+}
+
 // next reads a table in full or waits for changes.
-func (n *Node) next(ctx context.Context, table string, loaded bool, after uint64) (adapter.Rows, bool, error) {
+func (n *Node) next(ctx context.Context, w *watcher, loaded bool, after uint64) (adapter.Rows, bool, error) {
 	if !loaded {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		rows, err := n.store.Read(ctx, table)
+		rows, err := n.store.Read(ctx, w.table)
 		return rows, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	ctx, cancel := context.WithTimeout(ctx, w.wait+w.slack)
 	defer cancel()
-	rows, err := n.store.Feed(ctx, table, after, feedWait)
+	feeds := n.feedContext()
+	stop := context.AfterFunc(feeds, cancel)
+	defer stop()
+	rows, err := n.store.Feed(ctx, w.table, after, w.wait)
 	return rows, false, err
 }
 
@@ -125,12 +215,10 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
 
-func (n *Node) watchOperator(ctx context.Context) {
-	n.follow(ctx, watcher{
-		table: adapter.TableOperator, pause: operatorPause,
+func (n *Node) operatorWatcher() *watcher {
+	return &watcher{
+		table: adapter.TableOperator, pause: operatorPause, wait: operatorWait, slack: operatorSlack,
 		load: func(now time.Duration, rows adapter.Rows) bool {
-			n.mu.Lock()
-			defer n.mu.Unlock()
 			var zones []catalog.Change[struct{}]
 			for _, row := range rows.Rows {
 				if _, zone := adapter.OperatorKey(row.Key); zone != "" {
@@ -142,12 +230,9 @@
 			}
 			n.applyConfigRows(rows.Rows)
 			n.catalog.OperatorLoaded()
-			n.rebuild(now)
 			return true
 		},
 		apply: func(now time.Duration, rows []adapter.Row) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
 			n.applyConfigRows(rows)
 			for _, row := range rows {
 				_, zone := adapter.OperatorKey(row.Key)
@@ -162,11 +247,10 @@
 					n.log.Info("evacuation changed", "failureDomain", zone, "evacuated", !row.Deleted, "version", row.Version)
 				}
 			}
-			n.rebuild(now)
 		},
 		lost:     func() { n.operatorLost.Store(true) },
 		regained: func() { n.operatorLost.Store(false) },
-	})
+	}
 }
 
 // applyConfigRows puts the newest configuration in force; the caller holds mu.
@@ -187,7 +271,7 @@
 	}
 }
 
-func (n *Node) watchServers(ctx context.Context) {
+func (n *Node) serversWatcher() *watcher {
 	decode := func(now time.Duration, rows []adapter.Row) []catalog.Change[steering.Server] {
 		changes := make([]catalog.Change[steering.Server], 0, len(rows))
 		for _, row := range rows {
@@ -204,38 +288,31 @@
 		}
 		return changes
 	}
-	n.follow(ctx, watcher{
-		table: adapter.TableServers, pause: entryPause,
+	return &watcher{
+		table: adapter.TableServers, pause: entryPause, wait: entryWait, slack: entrySlack,
 		load: func(now time.Duration, rows adapter.Rows) bool {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if !n.catalog.LoadServers(now, rows.Version, decode(now, rows.Rows)) {
-				return false
-			}
-			n.rebuild(now)
-			return true
+			return n.catalog.LoadServers(now, rows.Version, decode(now, rows.Rows))
 		},
 		apply: func(now time.Duration, rows []adapter.Row) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
 			for _, change := range decode(now, rows) {
 				if n.catalog.ApplyServer(now, change) {
 					n.logServer(change)
 				}
 			}
-			n.rebuild(now)
 		},
 		lost: func() {
+			n.serversLost.Store(true)
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.catalog.StoreLost()
 		},
 		regained: func() {
+			n.serversLost.Store(false)
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.catalog.StoreRegained(n.now())
 		},
-	})
+	}
 }
 
 func (n *Node) logServer(c catalog.Change[steering.Server]) {
@@ -255,6 +332,8 @@
 	Exchange      string `json:"exchange"`
 	Born          int64  `json:"born"`
 	Leaving       bool   `json:"leaving,omitempty"`
+	// Weight is higher for VMs that can carry more.
+	Weight float64 `json:"weight"`
 }
 
 func decodeVMs(n *Node, rows []adapter.Row) []catalog.Change[steering.VM] {
@@ -269,7 +348,7 @@
 			} else {
 				change.Value = &steering.VM{
 					Name: row.Key, Zone: e.FailureDomain, Region: e.Region, Front: e.Front,
-					Exchange: e.Exchange, Born: e.Born, Leaving: e.Leaving,
+					Exchange: e.Exchange, Born: e.Born, Leaving: e.Leaving, Weight: e.Weight,
 				}
 			}
 		}
@@ -278,38 +357,34 @@
 	return changes
 }
 
-func (n *Node) watchVMs(ctx context.Context) {
-	n.follow(ctx, watcher{
-		table: adapter.TableVMs, pause: entryPause,
+func (n *Node) vmsWatcher() *watcher {
+	return &watcher{
+		table: adapter.TableVMs, pause: entryPause, wait: entryWait, slack: entrySlack,
 		load: func(now time.Duration, rows adapter.Rows) bool {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if !n.catalog.LoadVMs(rows.Version, decodeVMs(n, rows.Rows)) {
-				return false
-			}
-			n.rebuild(now)
-			return true
+			return n.catalog.LoadVMs(rows.Version, decodeVMs(n, rows.Rows))
 		},
 		apply: func(now time.Duration, rows []adapter.Row) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
 			for _, change := range decodeVMs(n, rows) {
 				if n.catalog.ApplyVM(change) {
 					n.log.Info("VM changed", "vm", change.Key, "gone", change.Value == nil, "version", change.Version)
 				}
 			}
-			n.rebuild(now)
 		},
 		lost: func() {}, regained: func() {},
-	})
+	}
 }
 
 // registerVM writes this VM's entry until the store has it.
 func (n *Node) registerVM(ctx context.Context) {
+	if !n.registering.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.registering.Store(false)
 	backoff := firstBackoff
 	for ctx.Err() == nil && !n.stopping.Load() {
 		if err := n.writeEntry(ctx, false); err == nil {
 			n.log.Info("VM registered", "vm", n.settings.VM)
+			n.registered.Store(true)
 			return
 		} else {
 			n.log.Info("VM not registered", "vm", n.settings.VM, "error", err.Error())
@@ -323,6 +398,7 @@
 	raw, err := json.Marshal(vmEntry{
 		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Front: n.settings.FrontAddress,
 		Exchange: n.exchangeAddress(), Born: n.start.UnixNano(), Leaving: leaving,
+		Weight: n.settings.LinkMbps * n.settings.Cores,
 	})
 	if err != nil {
 		return errors.WithStack(err)
