--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -99,12 +99,11 @@
 	config  *steering.Config
 
 	operatorLoaded bool
-	operatorSeen   uint64
 	// unsoundUntil is until when a vanished server may be a lapsed entry.
 	unsoundUntil time.Duration
 	storeDown    bool
-	// warmAfter is when the servers of a zone are warm again after an
-	// evacuation.
+	// evacuationEnded is when the evacuation of a zone ended: its servers are
+	// cold for a while then.
 	evacuationEnded map[string]time.Duration
 	view            *View
 }
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -113,7 +113,6 @@
 // Picker chooses servers for one VM.
 type Picker struct {
 	self, region string
-	coldOver     float64
 	groups       map[string]*group
 	servers      map[string]*server
 	classes      map[string]*class
