--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,155 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/core/steering"
+)
+
+func config(version uint64) *steering.Config {
+	return steering.NewConfig(version, nil, []*steering.Service{{Name: "desk", ColdStart: 3 * time.Second}}, nil, steering.Limits{})
+}
+
+func server(id string) *steering.Server {
+	return &steering.Server{ID: id, Service: "desk", Zone: "a", Region: "north", Slots: 4}
+}
+
+func change(version uint64, s *steering.Server, id string) Change[steering.Server] {
+	return Change[steering.Server]{Key: id, Version: version, Value: s}
+}
+
+func ids(v *View) []string {
+	var out []string
+	for _, s := range v.Servers["desk"] {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func loaded(t *testing.T) *Catalog {
+	t.Helper()
+	c := New()
+	c.OperatorLoaded()
+	require.True(t, c.ApplyConfig(config(5)))
+	require.True(t, c.LoadServers(0, 10, []Change[steering.Server]{change(3, server("s1"), "s1")}))
+	return c
+}
+
+// Guards against a configuration that steps back when an older read arrives
+// late.
+func TestConfigNeverStepsBack(t *testing.T) {
+	c := loaded(t)
+	require.False(t, c.ApplyConfig(config(4)))
+	require.False(t, c.ApplyConfig(config(5)))
+	require.Equal(t, uint64(5), c.Build(0).Config.Version)
+	require.True(t, c.ApplyConfig(config(9)))
+}
+
+// Guards against a stale full read, as after the store dropped its history,
+// that brings back a server which left.
+func TestOldFullReadIsNotUsed(t *testing.T) {
+	c := loaded(t)
+	require.True(t, c.ApplyServer(0, change(20, nil, "s1")))
+	require.False(t, c.LoadServers(0, 15, []Change[steering.Server]{change(3, server("s1"), "s1")}))
+	require.Empty(t, ids(c.Build(0)))
+}
+
+// Guards against an older change of a row that arrives after a newer one.
+func TestOldChangeIsNotUsed(t *testing.T) {
+	c := loaded(t)
+	draining := server("s1")
+	draining.Draining = true
+	require.True(t, c.ApplyServer(0, change(20, draining, "s1")))
+	require.False(t, c.ApplyServer(0, change(19, server("s1"), "s1")))
+	require.Empty(t, ids(c.Build(0)))
+}
+
+// Guards against entries of other writers that take a server out of use or
+// stop the process.
+func TestUnreadableEntryChangesNothing(t *testing.T) {
+	c := loaded(t)
+	c.ApplyServer(0, Change[steering.Server]{Key: "s1", Version: 21, Unreadable: true})
+	c.ApplyServer(0, Change[steering.Server]{Key: "junk", Version: 22, Unreadable: true})
+	require.Equal(t, []string{"s1"}, ids(c.Build(0)))
+}
+
+// Guards against the loss of all servers whose entries lapsed while the store
+// was away, and against keeping them for good.
+func TestLapsedEntriesAreHeldForAWhile(t *testing.T) {
+	c := loaded(t)
+	c.StoreLost()
+	c.StoreRegained(time.Second)
+	require.True(t, c.LoadServers(time.Second, 30, nil))
+	v := c.Build(time.Second)
+	require.Equal(t, []string{"s1"}, ids(v))
+	require.True(t, v.Servers["desk"][0].Lapsed, "a lapsed server has to prove itself before it gets a request")
+	require.False(t, c.Expire(time.Second+LapseHold-1))
+	require.True(t, c.Expire(time.Second+LapseHold))
+	require.Empty(t, ids(c.Build(time.Second+LapseHold)))
+}
+
+// Guards against the end of a lapsed server that came back in time.
+func TestLapsedEntryComesBack(t *testing.T) {
+	c := loaded(t)
+	c.StoreLost()
+	c.StoreRegained(time.Second)
+	require.True(t, c.ApplyServer(time.Second, change(30, nil, "s1")))
+	require.True(t, c.ApplyServer(2*time.Second, change(31, server("s1"), "s1")))
+	c.Expire(10 * time.Second)
+	v := c.Build(10 * time.Second)
+	require.Equal(t, []string{"s1"}, ids(v))
+	require.False(t, v.Servers["desk"][0].Lapsed)
+}
+
+// Guards against requests to a server that vanished in calm times or had said
+// that it leaves.
+func TestVanishedServerIsGoneAtOnce(t *testing.T) {
+	c := loaded(t)
+	require.True(t, c.ApplyServer(time.Second, change(30, nil, "s1")))
+	require.Empty(t, ids(c.Build(time.Second)))
+
+	c = loaded(t)
+	draining := server("s1")
+	draining.Draining = true
+	c.ApplyServer(0, change(20, draining, "s1"))
+	c.StoreLost()
+	c.ApplyServer(0, change(21, nil, "s1"))
+	require.Empty(t, ids(c.Build(0)))
+}
+
+// Guards against requests to an evacuated failure domain, and against full
+// load on its servers right after: they may have restarted unseen.
+func TestEvacuation(t *testing.T) {
+	c := loaded(t)
+	require.True(t, c.ApplyEvacuation(0, Change[struct{}]{Key: "a", Version: 40, Value: &struct{}{}}))
+	require.Empty(t, ids(c.Build(0)))
+	require.True(t, c.ApplyEvacuation(8*time.Second, Change[struct{}]{Key: "a", Version: 41}))
+	v := c.Build(8 * time.Second)
+	require.Equal(t, []string{"s1"}, ids(v))
+	require.Equal(t, 8*time.Second+3*time.Second+EvacuationWarmup, v.Servers["desk"][0].ColdUntil)
+	require.Zero(t, c.Build(20 * time.Second).Servers["desk"][0].ColdUntil)
+}
+
+// Guards against an evacuation that ended unseen between two full reads.
+func TestEvacuationEndsWithAFullRead(t *testing.T) {
+	c := loaded(t)
+	c.ApplyEvacuation(0, Change[struct{}]{Key: "a", Version: 40, Value: &struct{}{}})
+	require.True(t, c.LoadEvacuations(9*time.Second, 50, nil))
+	require.NotZero(t, c.Build(9 * time.Second).Servers["desk"][0].ColdUntil)
+}
+
+// Guards against a process that answers 404 or 401 before it has read what the
+// operator wrote.
+func TestNotReadyBeforeAllWasRead(t *testing.T) {
+	c := New()
+	require.False(t, c.Build(0).Ready)
+	c.ApplyConfig(config(1))
+	require.False(t, c.Build(0).Ready)
+	c.OperatorLoaded()
+	require.False(t, c.Build(0).Ready)
+	c.LoadServers(0, 1, nil)
+	require.True(t, c.Build(0).Ready)
+}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -14,7 +14,7 @@
 // of all regions if none of its own is alive. Leaving VMs and those that alive
 // does not name are left out; alive is nil while it is not known who lives. If
 // nobody remains, the entries of the store count as they are.
-func Addresses(vms map[string]*steering.VM, alive func(vm string) bool, region, zone string) []string {
+func Addresses(vms map[string]*steering.VM, alive func(vm string) bool, region string) []string {
 	usable := func(vm *steering.VM) bool { return !vm.Leaving && (alive == nil || alive(vm.Name)) }
 	for _, allowed := range []func(*steering.VM) bool{
 		func(vm *steering.VM) bool { return usable(vm) && vm.Region == region },
--- /dev/null
+++ b/core/exchange/exchange_test.go
@@ -0,0 +1,306 @@
+package exchange
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleet steps the machines of a fleet in virtual time over a network that
+// loses messages.
+type fleet struct {
+	t        *testing.T
+	random   *rand.Rand
+	now      time.Duration
+	machines map[string]*Machine
+	roster   []Member
+	demand   map[string]float64
+	dead     map[string]bool
+	loss     float64
+	largest  int
+	sent     int
+	versions Versions
+	// unsound VMs do not reach the store.
+	unsound map[string]bool
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{
+		t: t, random: rand.New(rand.NewPCG(7, 11)), machines: make(map[string]*Machine),
+		demand: make(map[string]float64), dead: make(map[string]bool), unsound: make(map[string]bool),
+	}
+	for i := range n {
+		name := fmt.Sprintf("vm-%02d", i)
+		f.roster = append(f.roster, Member{Name: name, Weight: float64(i % 3)})
+		f.machines[name] = New(name, 1, 0)
+	}
+	for _, m := range f.machines {
+		m.SetRoster(f.roster)
+	}
+	return f
+}
+
+func (f *fleet) names() []string {
+	var out []string
+	for _, m := range f.roster {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// deliver sends a message of a VM unless it is lost.
+func (f *fleet) deliver(to string, message any, handle func(m *Machine)) {
+	raw, err := json.Marshal(message)
+	require.NoError(f.t, err)
+	f.largest = max(f.largest, len(raw))
+	f.sent++
+	if !f.dead[to] && f.random.Float64() >= f.loss {
+		handle(f.machines[to])
+	}
+}
+
+// round is one interval of reports and digests, with two pulses.
+func (f *fleet) round() {
+	f.now += Interval(len(f.roster))
+	for _, name := range f.names() {
+		m := f.machines[name]
+		if f.dead[name] {
+			continue
+		}
+		r := m.Report("north", map[string]float64{"hot": f.demand[name]}, nil, true)
+		for _, hub := range m.Hubs(f.now) {
+			f.deliver(hub, r, func(h *Machine) { h.HandleReport(f.now, r) })
+		}
+	}
+	for _, name := range f.names() {
+		m := f.machines[name]
+		if f.dead[name] {
+			continue
+		}
+		if m.Leads(f.now) {
+			for vm, d := range m.Digests(f.now) {
+				f.deliver(vm, d, func(o *Machine) { o.HandleDigest(f.now, d) })
+			}
+		}
+		if m.IsHub(f.now) {
+			p := m.Pulse(f.versions, !f.unsound[name])
+			for _, vm := range f.names() {
+				f.deliver(vm, p, func(o *Machine) { o.HandlePulse(f.now, p) })
+			}
+		}
+	}
+}
+
+func (f *fleet) rounds(n int) {
+	for range n {
+		f.round()
+	}
+}
+
+func (f *fleet) parts(rate float64) float64 {
+	var sum float64
+	for _, name := range f.names() {
+		if !f.dead[name] {
+			sum += f.machines[name].Part(f.now, "hot", rate)
+		}
+	}
+	return sum
+}
+
+func (f *fleet) first() string {
+	for _, vm := range f.machines[f.names()[0]].roster {
+		if !f.dead[vm] {
+			return vm
+		}
+	}
+	return ""
+}
+
+// Guards against parts of a rate that add up to more than the tolerance allows
+// in a calm fleet, with lost messages, and while a hub dies.
+func TestPartsOfTheFleet(t *testing.T) {
+	for _, size := range []int{1, 2, 10, 80} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(t, size)
+			f.loss = 0.03
+			for i, name := range f.names() {
+				f.demand[name] = float64(i * 10)
+			}
+			f.rounds(12)
+			require.InDelta(t, 1, f.parts(100), 0.1, "in proportion")
+			require.InDelta(t, 1, f.parts(1e6), 0.1, "with room")
+			if size > 2 {
+				f.dead[f.first()] = true
+				for range 12 {
+					f.round()
+					require.LessOrEqual(t, f.parts(100), 1.1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a VM that keeps its part for good after the fleet has lost
+// it: it uses an equal part, which the hub keeps free.
+func TestCutVMUsesAnEqualPart(t *testing.T) {
+	f := newFleet(t, 10)
+	for _, name := range f.names() {
+		f.demand[name] = 10
+	}
+	cut := f.names()[4]
+	f.demand[cut] = 900
+	f.rounds(12)
+	require.Greater(t, f.machines[cut].Part(f.now, "hot", 100), 0.5)
+	f.dead[cut] = true
+	f.rounds(12)
+	own := f.machines[cut].Part(f.now, "hot", 100)
+	require.InDelta(t, 0.1, own, 1e-9)
+	require.LessOrEqual(t, own+f.parts(100), 1.001)
+}
+
+// Guards against a directory that names dead VMs for longer than 7 s, and
+// against one that names nobody since its hub does not hear.
+func TestWhoIsCallable(t *testing.T) {
+	f := newFleet(t, 10)
+	f.rounds(12)
+	victim, observer := f.first(), f.names()[0]
+	if victim == observer {
+		observer = f.names()[1]
+	}
+	f.dead[victim] = true
+	f.rounds(int(7 * time.Second / Interval(10)))
+	callable, known := f.machines[observer].Callable(f.now)
+	require.True(t, known)
+	require.False(t, callable(victim))
+	require.True(t, callable(observer))
+
+	for _, name := range f.names() {
+		f.dead[name] = name != observer
+	}
+	f.rounds(20)
+	_, known = f.machines[observer].Callable(f.now)
+	require.False(t, known, "a hub that hears nobody does not tell who is dead")
+}
+
+// Guards against VMs that all follow the store, and against VMs that follow
+// nobody after hubs died or lost the store. The bound is the time in which a
+// change must be in force, less the time to read it.
+func TestWhoReadsTheStore(t *testing.T) {
+	f := newFleet(t, 10)
+	f.rounds(12)
+	readers := func() int {
+		n := 0
+		for _, name := range f.names() {
+			if !f.dead[name] && f.machines[name].Reads(f.now) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, hubCount, readers())
+
+	f.versions.Operator = 7
+	f.round()
+	for _, name := range f.names() {
+		if !f.machines[name].IsHub(f.now) {
+			source, ok := f.machines[name].Source(f.now)
+			require.True(t, ok)
+			require.Equal(t, uint64(7), source.Versions.Operator)
+		}
+	}
+
+	hubs := f.machines[f.names()[0]].Hubs(f.now)
+	f.dead[hubs[0]], f.dead[hubs[1]] = true, true
+	f.rounds(int((1500*time.Millisecond + Interval(10) - 1) / Interval(10)))
+	require.Equal(t, 8, readers(), "without hubs every VM reads")
+	f.rounds(20)
+	require.Equal(t, hubCount, readers(), "others take over")
+}
+
+// Guards against VMs that trust a hub which lost the store while another has
+// it.
+func TestUnsoundHubIsNotASource(t *testing.T) {
+	f := newFleet(t, 10)
+	f.rounds(12)
+	hubs := f.machines[f.names()[0]].Hubs(f.now)
+	f.unsound[hubs[0]] = true
+	f.rounds(2)
+	for _, name := range f.names() {
+		if slices.Contains(hubs, name) {
+			continue
+		}
+		source, ok := f.machines[name].Source(f.now)
+		require.True(t, ok)
+		require.Equal(t, hubs[1], source.Hub)
+	}
+	f.unsound[hubs[1]] = true
+	f.rounds(2)
+	for _, name := range f.names() {
+		require.True(t, f.machines[name].Reads(f.now))
+	}
+}
+
+// Guards against messages that do not fit into one packet, and against a
+// number of messages that grows with the square of the fleet. With digests of
+// 4.5 KB at once, links of 10 Mbit/s lost most of them.
+func TestMessagesStaySmallAndFew(t *testing.T) {
+	const accounts = 82
+	f := newFleet(t, 80)
+	f.rounds(8)
+	f.sent = 0
+	f.rounds(10)
+	require.LessOrEqual(t, f.sent/10, 80*(2+1+hubCount))
+
+	hub := f.machines[f.first()]
+	for i, name := range f.names() {
+		demand := make(map[string]float64)
+		for a := range accounts {
+			demand[fmt.Sprintf("acct%03d", a)] = float64(a+i) / 7
+		}
+		hub.HandleReport(f.now, f.machines[name].Report("north", demand, map[string]float64{"desk": 3}, true))
+	}
+	for _, d := range hub.Digests(f.now) {
+		raw, err := json.Marshal(d)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(raw), 2100)
+	}
+}
+
+// Guards against a restarted VM whose messages count as old ones.
+func TestRestartedVMIsHeard(t *testing.T) {
+	f := newFleet(t, 3)
+	f.rounds(10)
+	hub := f.machines[f.first()]
+	name := f.names()[0]
+	again := New(name, 2, f.now)
+	again.SetRoster(f.roster)
+	hub.HandleReport(f.now, again.Report("north", map[string]float64{"hot": 42}, nil, true))
+	require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
+	hub.HandleReport(f.now, Report{VM: name, Born: 1, Seq: 10_000})
+	require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
+}
+
+// Guards against removing the entries of VMs that are merely not heard.
+func TestEntriesOfSilentVMsStay(t *testing.T) {
+	f := newFleet(t, 3)
+	f.rounds(10)
+	victim := f.names()[0]
+	leader := f.first()
+	if leader == victim {
+		victim = f.names()[1]
+	}
+	f.dead[victim] = true
+	for f.now < GoneAfter-time.Second {
+		f.round()
+		require.Empty(t, f.machines[leader].Gone(f.now))
+	}
+	for f.now < 2*GoneAfter {
+		f.round()
+	}
+	require.Equal(t, []string{victim}, f.machines[leader].Gone(f.now))
+}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -43,10 +43,11 @@
 	maxRetryAfter = time.Second
 )
 
-// patience is how many times its objective a request may be expected to take,
-// by rank. Under overload, the least important requests are rejected first, and
-// those that are accepted are still of use to their callers.
-var patience = []float64{1.2, 1.0, 0.85}
+// patience is the longest wait in a server's queue that a request is sent to, as
+// a part of its objective, by rank. Under overload, the least important requests
+// are rejected first, and those that are accepted are still in time: with longer
+// queues every answer is late.
+var patience = []float64{0.9, 0.7, 0.5}
 
 func patienceOf(rank int) float64 {
 	return patience[min(max(rank, 0), len(patience)-1)]
@@ -98,16 +99,20 @@
 	// server is taken to be warm for the object.
 	Expected time.Duration
 	Warm     bool
-	wait     float64
+	// wait and work are the parts of Expected, in milliseconds; work without
+	// the slowness of the server.
+	wait, work float64
 }
 
 type group struct {
 	service  *steering.Service
 	servers  []*server
 	byRegion map[string][]*server
-	// waitMS is the mean work of a request, for the wait in queues.
+	// meanMS is the mean work of a request, for the wait in queues.
 	meanMS float64
-	spill  float64
+	// ratio is how many times longer than expected requests take.
+	ratio float64
+	spill float64
 }
 
 // Picker chooses servers for one VM.
@@ -139,9 +144,9 @@
 		if service == nil {
 			service = &steering.Service{Name: name}
 		}
-		g := &group{service: service, byRegion: make(map[string][]*server), meanMS: 100}
+		g := &group{service: service, byRegion: make(map[string][]*server), ratio: 1}
 		if old := p.groups[name]; old != nil {
-			g.meanMS, g.spill = old.meanMS, old.spill
+			g.meanMS, g.ratio, g.spill = old.meanMS, old.ratio, old.spill
 		}
 		for _, t := range list {
 			s := p.servers[t.ID]
@@ -254,6 +259,9 @@
 	if g == nil || len(g.servers) == 0 {
 		return Choice{Reason: NoServer, RetryAfter: maxRetryAfter}
 	}
+	if g.meanMS == 0 {
+		g.meanMS = (p.class(r).cold + p.class(r).warm) / 2
+	}
 	g.spill = min(spillMax, g.spill+spillPerRequest)
 	best := p.best(now, g, r, r.Region)
 	if p.judge(r, best) == "" {
@@ -297,7 +305,7 @@
 		return NoServer
 	case c.Expected > r.Remaining:
 		return NoTime
-	case float64(c.Expected+r.Waited) > patienceOf(r.Rank)*float64(r.Objective) && c.wait > 0:
+	case c.wait > patienceOf(r.Rank)*float64(r.Objective)/float64(time.Millisecond):
 		return Overloaded
 	default:
 		return ""
@@ -332,25 +340,31 @@
 		if !p.usable(now, s, r) {
 			continue
 		}
-		work := c.cold
-		warm := r.Object == 0 || s == first || s.isWarm(now, r.Object)
+		work, extra := c.cold, c.cold-c.warm
+		// Other VMs have warmed the first server of an object by the time
+		// that it has been in use for a while.
+		settled := s.used && now-s.usedSince > warmingTime
+		warm := r.Object == 0 || s == first && settled || s.isWarm(now, r.Object)
 		switch {
 		case warm:
-			work = c.warm
-		case s == second:
-			work = (c.cold + c.warm) / 2
-		case s.load(now) > coldSpillLoad*float64(s.told.Slots):
+			work, extra = c.warm, 0
+		case s == first:
+			extra = 0
+		case s == second && settled:
+			work, extra = (c.cold+c.warm)/2, extra/2
+		case s != second && s.load(now) > coldSpillLoad*float64(s.told.Slots):
 			continue
 		}
+		usual := work
 		work *= s.slow
 		wait := p.waitMS(now, g, s)
 		expected := rtt + wait + work
 		n := s.load(now) / float64(s.told.Slots)
 		cost := expected + queueCost*min(n, 1)*min(n, 1)*g.meanMS +
-			extraWorkCost*max(0, work-c.warm) + s.failing*failureCostMS + s.shedding*shedCostMS
+			extraWorkCost*extra + s.failing*failureCostMS + s.shedding*shedCostMS
 		if cost < lowest {
 			lowest, chosen = cost, s
-			choice = Choice{Server: s.told, Expected: time.Duration(expected * float64(time.Millisecond)), Warm: warm, wait: wait}
+			choice = Choice{Server: s.told, Expected: time.Duration(expected * float64(time.Millisecond)), Warm: warm, wait: wait, work: usual}
 		}
 	}
 	if chosen != nil && chosen.isCold(now) {
@@ -402,8 +416,14 @@
 // Started notes that a request was sent to the chosen server.
 func (p *Picker) Started(now time.Duration, r *Request, c Choice) {
 	if s := p.servers[c.Server.ID]; s != nil {
+		if !s.used {
+			s.used, s.usedSince = true, now
+		}
 		s.inflight++
 		s.touched(now, r.Object)
+		if g := p.groups[r.Service]; g != nil {
+			g.meanMS += (c.work - g.meanMS) * workWeight
+		}
 	}
 }
 
@@ -456,18 +476,37 @@
 }
 
 func (p *Picker) observe(r *Request, c Choice, s *server, elapsed time.Duration) {
+	g := p.groups[r.Service]
+	if g == nil {
+		return
+	}
 	ms := float64(elapsed) / float64(time.Millisecond)
 	expected := max(1, float64(c.Expected)/float64(time.Millisecond))
-	ratio := min(max(ms/expected, 0.2), maxSlow) * s.slow
-	s.slow = max(1, s.slow+(ratio-s.slow)*slowWeight)
-	if work := ms - p.rtt(s.told.Region) - c.wait; work > 1 && s.slow < 2 {
-		p.class(r).observe(c.Warm, work)
-		if g := p.groups[r.Service]; g != nil {
-			g.meanMS += (work - g.meanMS) * workWeight
-		}
+	ratio := min(max(ms/expected, 0.2), maxSlow)
+	// A server is slow compared with the others: what all of them show is load
+	// or work that was not known.
+	g.ratio += (ratio - g.ratio) * ratioWeight
+	s.slow = max(1, s.slow+(ratio/max(1, g.ratio)*s.slow-s.slow)*slowWeight)
+	work := ms - p.rtt(s.told.Region)
+	if c.wait > 0 || work <= 0 || s.slow > knownSlow {
+		return
 	}
+	class := p.class(r)
+	work = min(work, maxSample*class.cold)
+	class.observe(c.Warm, work)
 }
 
+const (
+	// ratioWeight is the weight of the newest request in how much longer than
+	// expected the requests of a service take.
+	ratioWeight = 0.02
+	// knownSlow servers do not count for the work of a class.
+	knownSlow = 1.5
+	// maxSample bounds one measurement: a request that met a queue which was
+	// not known tells little about the work.
+	maxSample = 2
+)
+
 // Reported notes the load that a server told with an answer.
 func (p *Picker) Reported(now time.Duration, id string, running, waiting int) {
 	if s := p.servers[id]; s != nil {
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -32,6 +32,9 @@
 	failuresInRow = 4
 	// warmObjects is how many objects of a server this VM remembers.
 	warmObjects = 64
+	// warmingTime is after what time in use a server is taken to be warm for
+	// the objects that rank it first: each was asked for a few times.
+	warmingTime = 2 * time.Second
 	// warmFor is for how long an object is taken to be warm after its last
 	// request from this VM.
 	warmFor = 12 * time.Second
@@ -60,6 +63,9 @@
 	cold      ratelimit.Bucket
 	coldOwner bool
 	warm      map[uint64]time.Duration
+	// usedSince is when this VM first used the server.
+	used      bool
+	usedSince time.Duration
 }
 
 func newServer(told *steering.Server) *server {
--- /dev/null
+++ b/core/ratelimit/ratelimit_test.go
@@ -0,0 +1,114 @@
+package ratelimit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against parts that add up to more than the rate: the fleet would
+// exceed an account's rate however it divides.
+func TestPartsAddUpToOne(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		vms := 1 + random.IntN(80)
+		demands := make([]float64, vms)
+		var sum float64
+		for i := range demands {
+			if random.IntN(3) > 0 {
+				demands[i] = random.Float64() * 20
+			}
+			sum += demands[i]
+		}
+		rate := random.Float64() * 1000
+		var total float64
+		for _, d := range demands {
+			total += Part(rate, d, sum, vms)
+		}
+		require.InDelta(t, 1, total, 1e-9)
+	}
+}
+
+// Guards against rejecting an account within its rate because its callers use
+// few VMs.
+func TestDemandThatFitsIsMet(t *testing.T) {
+	part := Part(100, 70, 70, 10)
+	require.GreaterOrEqual(t, part*100, 70.0)
+	require.InDelta(t, 3, Part(100, 0, 70, 10)*100, 1e-9, "VMs without callers share what is left")
+}
+
+// Guards against VMs that starve when demand exceeds the rate.
+func TestDemandThatDoesNotFitIsMetInProportion(t *testing.T) {
+	require.InDelta(t, 0.9*0.8+0.05, Part(100, 800, 1000, 2), 1e-9)
+	require.InDelta(t, 0.9*0.2+0.05, Part(100, 200, 1000, 2), 1e-9)
+}
+
+// Guards against a fleet that lets more through than rate and burst while a
+// hot account moves between VMs. Ten VMs, parts follow the demand of the second
+// before, as with digests that arrive late.
+func TestHotAccountThatMovesStaysWithinItsRate(t *testing.T) {
+	const (
+		vms    = 10
+		rate   = 100.0
+		burst  = 100.0
+		step   = 10 * time.Millisecond
+		window = 5 * time.Second
+	)
+	var buckets [vms]Bucket
+	old := make([]float64, vms)
+	var sum float64
+	admitted := make(map[time.Duration]int)
+	for now := time.Duration(0); now < 60*time.Second; now += step {
+		target := int(now/(7*time.Second)) % vms
+		if now%time.Second == 0 {
+			for i := range buckets {
+				part := Part(rate, old[i], sum, vms)
+				buckets[i].Set(now, rate*part, burst*part)
+				old[i] = 0
+			}
+			old[target], sum = 800, 800
+		}
+		for range 8 {
+			if ok, _ := buckets[target].Take(now); ok {
+				admitted[now/window*window]++
+			}
+		}
+	}
+	for _, n := range admitted {
+		require.LessOrEqual(t, float64(n), (rate*window.Seconds()+burst)*1.1+20)
+	}
+}
+
+// Guards against a Retry-After that is not true: the request would be rejected
+// again.
+func TestWaitIsTrue(t *testing.T) {
+	var b Bucket
+	b.Set(0, 2, 1)
+	ok, wait := b.Take(0)
+	require.False(t, ok, "a bucket starts empty, so that restarts give no extra burst")
+	require.Equal(t, 500*time.Millisecond, wait)
+	ok, _ = b.Take(wait)
+	require.True(t, ok)
+}
+
+// Guards against tokens above the burst after a VM's part shrank, and after
+// tokens were returned.
+func TestTokensStayWithinTheBurst(t *testing.T) {
+	var b Bucket
+	b.Set(0, 100, 100)
+	require.InDelta(t, 100, b.Tokens(10*time.Second), 1e-9)
+	b.Set(10*time.Second, 10, 10)
+	require.InDelta(t, 10, b.Tokens(10*time.Second), 1e-9)
+	b.Return()
+	require.InDelta(t, 10, b.Tokens(10*time.Second), 1e-9)
+}
+
+// Guards against waiting forever for an account without a rate here.
+func TestNoRateIsRejectedWithABoundedWait(t *testing.T) {
+	var b Bucket
+	ok, wait := b.Take(time.Second)
+	require.False(t, ok)
+	require.Equal(t, maxWait, wait)
+}
--- a/entry/gateway/directory.go
+++ b/entry/gateway/directory.go
@@ -19,7 +19,7 @@
 	n.mu.Lock()
 	alive, _ := n.peers.Callable(n.now())
 	n.mu.Unlock()
-	addresses := directory.Addresses(view.VMs, alive, query.Region, query.FailureDomain)
+	addresses := directory.Addresses(view.VMs, alive, query.Region)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
