--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -130,6 +130,9 @@
 func (c *conn) readAll() error {
 	previous := make(chan struct{})
 	close(previous)
+	// barrier is done once the last request was answered that may not be served
+	// beside others.
+	barrier := previous
 	for {
 		arrived, err := c.awaitRequest()
 		if err != nil {
@@ -139,7 +142,7 @@
 		if status != 0 {
 			answer := c.server.handler.Refuse(status)
 			answer.Close = true
-			c.start(nil, func() *Answer { return answer }, previous)
+			c.start(nil, func() *Answer { return answer }, barrier, previous)
 			return errStopReading
 		}
 		if err != nil {
@@ -147,9 +150,12 @@
 		}
 		concurrent := c.server.handler.Concurrent(r)
 		if !concurrent {
-			<-previous
+			barrier = previous
+		}
+		previous = c.start(r, func() *Answer { return c.server.handler.Serve(c.ctx, r) }, barrier, previous)
+		if !concurrent {
+			barrier = previous
 		}
-		previous = c.start(r, func() *Answer { return c.server.handler.Serve(c.ctx, r) }, previous)
 		if previous == nil || r.Close || c.isClosed() {
 			return errStopReading
 		}
@@ -187,7 +193,8 @@
 // readRequest reads a whole request. A status other than 0 refuses it.
 func (c *conn) readRequest(arrived time.Time) (*Request, int, error) {
 	limits := c.server.handler.Limits()
-	if err := c.nc.SetReadDeadline(arrived.Add(limits.HeaderTimeout)); err != nil {
+	deadline := arrived.Add(limits.HeaderTimeout)
+	if err := c.nc.SetReadDeadline(deadline); err != nil {
 		return nil, 0, err
 	}
 	c.head.n = max(0, limits.MaxHeaderBytes-c.br.Buffered())
@@ -196,7 +203,10 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return nil, http.StatusRequestHeaderFieldsTooLarge, nil
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case err != nil && !time.Now().Before(deadline):
+		// The parser takes a line that was cut off by the deadline for whole.
+		return nil, 0, os.ErrDeadlineExceeded
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, 0, err
 	case err != nil && isNetError(err):
 		return nil, 0, err
@@ -265,10 +275,10 @@
 	return err
 }
 
-// start serves a request and writes its answer once previous is done. It
-// returns a channel that is closed then, or nil if the connection has had its
-// last answer, so that the request counts as not read.
-func (c *conn) start(r *Request, serve func() *Answer, previous <-chan struct{}) chan struct{} {
+// start serves a request once barrier is done and writes its answer once
+// previous is done. It returns a channel that is closed then, or nil if the
+// connection has had its last answer, so that the request counts as not read.
+func (c *conn) start(r *Request, serve func() *Answer, barrier, previous <-chan struct{}) chan struct{} {
 	c.slots <- struct{}{}
 	c.mu.Lock()
 	if c.closed {
@@ -285,6 +295,10 @@
 		defer c.server.end()
 		defer close(done)
 		defer func() { <-c.slots }()
+		<-barrier
+		if c.isClosed() {
+			return
+		}
 		answer := serve()
 		<-previous
 		c.write(r, answer)
--- /dev/null
+++ b/entry/ingress/ingress_test.go
@@ -0,0 +1,281 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fakeHandler answers each request after the time that its path names, and
+// notes what happened.
+type fakeHandler struct {
+	limits Limits
+	// mu guards what follows: requests are served together.
+	mu      sync.Mutex
+	bodies  []string
+	left    []string
+	started []string
+	closing bool
+}
+
+func (h *fakeHandler) Limits() Limits { return h.limits }
+
+func (h *fakeHandler) Concurrent(r *Request) bool { return r.Method == http.MethodGet }
+
+func (h *fakeHandler) Refuse(status int) *Answer {
+	return &Answer{Status: status, Header: http.Header{}}
+}
+
+func (h *fakeHandler) Serve(ctx context.Context, r *Request) *Answer {
+	h.mu.Lock()
+	h.started = append(h.started, r.Path)
+	h.bodies = append(h.bodies, string(r.Body))
+	h.mu.Unlock()
+	d, err := time.ParseDuration(strings.TrimPrefix(r.Path, "/"))
+	if err != nil {
+		d = 0
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		h.mu.Lock()
+		h.left = append(h.left, r.Path)
+		h.mu.Unlock()
+	}
+	return &Answer{Status: 200, Header: http.Header{}, Body: []byte(r.Path), Close: h.closing}
+}
+
+func newFake() *fakeHandler {
+	return &fakeHandler{limits: Limits{MaxHeaderBytes: 2048, MaxBodyBytes: 100, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}}
+}
+
+// pipeListener hands out one connection.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return nil }
+
+// run serves one connection in virtual time.
+func run(t *testing.T, h *fakeHandler, test func(s *Server, c net.Conn, br *bufio.Reader)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		s := NewServer(h)
+		l := &pipeListener{conns: make(chan net.Conn, 1)}
+		client, server := net.Pipe()
+		l.conns <- server
+		go func() { _ = s.Serve(l) }()
+		test(s, client, bufio.NewReader(client))
+		_ = client.Close()
+		close(l.conns)
+		time.Sleep(time.Minute)
+		conns, inflight, _ := s.Activity()
+		require.Zero(t, conns)
+		require.Zero(t, inflight)
+	})
+}
+
+func send(c net.Conn, text string) {
+	go func() { _, _ = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n")) }()
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\nHost: h\n\n" }
+
+func receive(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return r, string(body)
+}
+
+// Guards against answers in another order than the requests, and against
+// serving requests that came together one after the other.
+func TestPipelinedRequests(t *testing.T) {
+	run(t, newFake(), func(_ *Server, c net.Conn, br *bufio.Reader) {
+		begin := time.Now()
+		send(c, get("/300ms")+get("/100ms")+get("/200ms"))
+		for _, want := range []string{"/300ms", "/100ms", "/200ms"} {
+			_, body := receive(t, br)
+			require.Equal(t, want, body)
+		}
+		require.Equal(t, 300*time.Millisecond, time.Since(begin))
+	})
+}
+
+// Guards against a booking that starts before the requests in front of it are
+// answered: their connection may still end.
+func TestBookingWaitsForThoseBefore(t *testing.T) {
+	h := newFake()
+	run(t, h, func(_ *Server, c net.Conn, br *bufio.Reader) {
+		send(c, get("/300ms")+"POST /b HTTP/1.1\nHost: h\nContent-Length: 2\n\nhi"+get("/c"))
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, []string{"/300ms"}, h.started)
+		for range 3 {
+			receive(t, br)
+		}
+		require.Equal(t, []string{"", "hi", ""}, h.bodies)
+	})
+}
+
+// Guards against working for a caller that has left, also when it has sent
+// further requests whose bytes are waiting.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	h := newFake()
+	run(t, h, func(_ *Server, c net.Conn, _ *bufio.Reader) {
+		send(c, get("/10s")+get("/11s"))
+		time.Sleep(100 * time.Millisecond)
+		_ = c.Close()
+		time.Sleep(time.Millisecond)
+		require.ElementsMatch(t, []string{"/10s", "/11s"}, h.left)
+	})
+}
+
+// Guards against requests that break the limits: each is refused with its own
+// status, and the connection ends since its position is not known.
+func TestLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		status  int
+	}{
+		"head too large":          {"GET / HTTP/1.1\nHost: h\nX: " + strings.Repeat("x", 4096) + "\n\n", 431},
+		"body too large":          {"POST / HTTP/1.1\nHost: h\nContent-Length: 101\n\n", 413},
+		"chunked body too large":  {"POST / HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n70\n" + strings.Repeat("x", 112) + "\n0\n\n", 413},
+		"no request":              {"hello\n\n", 400},
+		"two lengths":             {"POST / HTTP/1.1\nHost: h\nContent-Length: 1\nContent-Length: 2\n\nxx", 400},
+		"no path":                 {"GET http://h/ HTTP/1.1\nHost: h\n\n", 400},
+		"bad length":              {"POST / HTTP/1.1\nHost: h\nContent-Length: -1\n\n", 400},
+		"unknown transfer coding": {"POST / HTTP/1.1\nHost: h\nTransfer-Encoding: gzip, chunked\n\n0\n\n", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newFake()
+			run(t, h, func(_ *Server, nc net.Conn, br *bufio.Reader) {
+				send(nc, c.request)
+				r, _ := receive(t, br)
+				require.Equal(t, c.status, r.StatusCode)
+				require.True(t, r.Close)
+				_, err := br.ReadByte()
+				require.ErrorIs(t, err, io.EOF)
+				require.Empty(t, h.started)
+			})
+		})
+	}
+}
+
+// Guards against a request that is hidden in the body of another: a body has
+// one end, whatever lengths it states.
+func TestNoRequestInsideABody(t *testing.T) {
+	h := newFake()
+	run(t, h, func(_ *Server, c net.Conn, br *bufio.Reader) {
+		hidden := get("/hidden")
+		size := len(strings.ReplaceAll(hidden, "\n", "\r\n"))
+		send(c, "POST /a HTTP/1.1\nHost: h\nContent-Length: "+itoa(size)+"\n\n"+hidden+get("/next"))
+		receive(t, br)
+		_, body := receive(t, br)
+		require.Equal(t, "/next", body)
+		require.Equal(t, []string{"/a", "/next"}, h.started)
+	})
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
+
+// Guards against a caller that sends its head byte by byte and holds a
+// connection for good.
+func TestSlowHeadEndsTheConnection(t *testing.T) {
+	run(t, newFake(), func(_ *Server, c net.Conn, br *bufio.Reader) {
+		begin := time.Now()
+		send(c, "GET / HT")
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, 3*time.Second, time.Since(begin))
+	})
+}
+
+// Guards against closing a connection that callers may still reuse, and against
+// keeping it for good.
+func TestIdleConnection(t *testing.T) {
+	run(t, newFake(), func(_ *Server, c net.Conn, br *bufio.Reader) {
+		send(c, get("/a"))
+		receive(t, br)
+		time.Sleep(12 * time.Second)
+		send(c, get("/b"))
+		receive(t, br)
+		begin := time.Now()
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, 15*time.Second+idleMargin, time.Since(begin))
+	})
+}
+
+// Guards against a planned stop that cuts a request, and against callers that
+// are not told to go.
+func TestDrain(t *testing.T) {
+	run(t, newFake(), func(s *Server, c net.Conn, br *bufio.Reader) {
+		send(c, get("/1s")+get("/2s"))
+		time.Sleep(100 * time.Millisecond)
+		s.Drain()
+		r, body := receive(t, br)
+		require.Equal(t, "/1s", body)
+		require.False(t, r.Close, "a request behind it is in progress")
+		r, body = receive(t, br)
+		require.Equal(t, "/2s", body)
+		require.True(t, r.Close)
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
+
+// Guards against a stop that leaves idle connections open or cuts busy ones.
+func TestClose(t *testing.T) {
+	run(t, newFake(), func(s *Server, c net.Conn, br *bufio.Reader) {
+		send(c, get("/1s"))
+		time.Sleep(100 * time.Millisecond)
+		s.Close()
+		r, _ := receive(t, br)
+		require.True(t, r.Close)
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	})
+	run(t, newFake(), func(s *Server, _ net.Conn, br *bufio.Reader) {
+		time.Sleep(100 * time.Millisecond)
+		s.Close()
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
+
+// Guards against serving what was sent behind the last answer: callers send it
+// again.
+func TestNothingIsServedBehindTheLastAnswer(t *testing.T) {
+	h := newFake()
+	h.closing = true
+	run(t, h, func(_ *Server, c net.Conn, br *bufio.Reader) {
+		send(c, "POST /a HTTP/1.1\nHost: h\nContent-Length: 0\n\nPOST /b HTTP/1.1\nHost: h\nContent-Length: 0\n\n")
+		r, _ := receive(t, br)
+		require.True(t, r.Close)
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, []string{"/a"}, h.started)
+	})
+}
