--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -74,8 +74,8 @@
 	// Born and Seq order the reports of one VM.
 	Born int64  `json:"born"`
 	Seq  uint64 `json:"seq"`
-	// Demand is in requests per second for each client account, the rejected
-	// ones included.
+	// Demand is in requests per second for each client account that this VM
+	// counts for its region, the rejected ones included.
 	Demand map[string]float64 `json:"demand,omitempty"`
 	// Work is the demand in busy slots for each service.
 	Work map[string]float64 `json:"work,omitempty"`
@@ -123,7 +123,8 @@
 
 // Member is one VM of the roster.
 type Member struct {
-	Name string
+	Name   string
+	Region string
 	// Weight orders the hubs: those with the highest weight come first.
 	Weight float64
 }
@@ -145,6 +146,8 @@
 	born    int64
 	started time.Duration
 	roster  []string
+	regions map[string]string
+	asked   map[string]time.Duration
 	seq     uint64
 	reports map[uint64]map[string]float64
 	members map[string]*member
@@ -159,7 +162,8 @@
 func New(self string, born int64, now time.Duration) *Machine {
 	return &Machine{
 		self: self, born: born, started: now, reports: make(map[uint64]map[string]float64),
-		members: make(map[string]*member), pulses: make(map[string]*pulse),
+		members: make(map[string]*member), pulses: make(map[string]*pulse), regions: make(map[string]string),
+		asked: make(map[string]time.Duration),
 	}
 }
 
@@ -172,8 +176,10 @@
 	})
 	m.roster = m.roster[:0]
 	present := make(map[string]bool, len(roster))
+	clear(m.regions)
 	for _, vm := range roster {
 		m.roster = append(m.roster, vm.Name)
+		m.regions[vm.Name] = vm.Region
 		present[vm.Name] = true
 	}
 	for vm := range m.members {
@@ -333,16 +339,68 @@
 	return m.digest, m.heard && now-m.heardAt < digestValid(len(m.roster))
 }
 
-// Part returns this VM's fraction of an account's rate.
+// Part returns the fraction of an account's rate that this VM may use as the
+// one that counts the account in its region.
 func (m *Machine) Part(now time.Duration, account string, rate float64) float64 {
 	d, fresh := m.Digest(now)
 	if !fresh {
-		return 1 / float64(m.Size())
+		// As many equal parts as VMs ask here: they do not use theirs.
+		return min(1, float64(1+m.askers(now))*m.OwnPart())
 	}
-	// Silent VMs keep an equal part each, which is what they use without a
-	// digest.
+	// Silent VMs keep an equal part each, which is what they use while they do
+	// not reach the one that counts.
 	free := float64(d.Live) / float64(max(1, d.Size))
-	return free * ratelimit.Part(rate*free, m.reports[d.Ack][account], d.Demand[account], d.Live)
+	return free * ratelimit.Part(rate*free, m.reports[d.Ack][account], d.Demand[account], m.liveRegions(d))
+}
+
+// OwnPart returns the fraction of a rate that a VM may use which does not reach
+// the one that counts an account.
+func (m *Machine) OwnPart() float64 { return 1 / float64(m.Size()) }
+
+// HandleAsk notes that another VM asks this one for tokens.
+func (m *Machine) HandleAsk(now time.Duration, vm string) { m.asked[vm] = now }
+
+// askers returns how many other VMs asked lately.
+func (m *Machine) askers(now time.Duration) int {
+	n := 0
+	for vm, at := range m.asked {
+		if now-at > askedFor {
+			delete(m.asked, vm)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// askedFor is for how long a VM that asked counts as one that asks.
+const askedFor = 2 * time.Second
+
+func (m *Machine) liveRegions(d Digest) int {
+	seen := make(map[string]bool)
+	for _, vm := range m.roster {
+		if !slices.Contains(d.Silent, vm) {
+			seen[m.regions[vm]] = true
+		}
+	}
+	return max(1, len(seen))
+}
+
+// Counter returns the VM that counts an account in a region: the first of its
+// live VMs in an order that depends on the account, so that accounts are spread
+// over them. It is empty if no VM of the region is known.
+func (m *Machine) Counter(now time.Duration, region, account string) string {
+	d, fresh := m.Digest(now)
+	best, top := "", uint64(0)
+	for _, vm := range m.roster {
+		if m.regions[vm] != region || fresh && d.Settled && (slices.Contains(d.Silent, vm) || slices.Contains(d.Unready, vm)) {
+			continue
+		}
+		if h := xxhash.Sum64String(vm + "/" + account); best == "" || h > top {
+			best, top = vm, h
+		}
+	}
+	return best
 }
 
 // Callable reports whether callers may be sent to a VM, as far as the digest
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -36,7 +36,8 @@
 	}
 	for i := range n {
 		name := fmt.Sprintf("vm-%02d", i)
-		f.roster = append(f.roster, Member{Name: name, Weight: float64(i % 3)})
+		// Each VM is alone in its region, so that it counts all accounts.
+		f.roster = append(f.roster, Member{Name: name, Region: name, Weight: float64(i % 3)})
 		f.machines[name] = New(name, 1, 0)
 	}
 	for _, m := range f.machines {
@@ -304,3 +305,50 @@
 	}
 	require.Equal(t, []string{victim}, f.machines[leader].Gone(f.now))
 }
+
+// Guards against VMs of a region that count an account twice, against accounts
+// that all have the same counter, and against a counter that is dead.
+func TestOneVMCountsAnAccount(t *testing.T) {
+	f := newFleet(t, 12)
+	for i := range f.roster {
+		f.roster[i].Region = []string{"north", "south"}[i%2]
+	}
+	for _, m := range f.machines {
+		m.SetRoster(f.roster)
+	}
+	f.rounds(12)
+	counters := make(map[string]bool)
+	for a := range 40 {
+		account := fmt.Sprint("account-", a)
+		counter := f.machines[f.names()[0]].Counter(f.now, "north", account)
+		counters[counter] = true
+		for _, name := range f.names() {
+			require.Equal(t, counter, f.machines[name].Counter(f.now, "north", account))
+		}
+	}
+	require.Len(t, counters, 6)
+
+	victim := f.machines[f.names()[0]].Counter(f.now, "north", "account-0")
+	f.dead[victim] = true
+	f.rounds(12)
+	for _, name := range f.names() {
+		if name != victim {
+			require.NotEqual(t, victim, f.machines[name].Counter(f.now, "north", "account-0"))
+		}
+	}
+	require.Empty(t, f.machines[f.names()[0]].Counter(f.now, "west", "account-0"))
+}
+
+// Guards against a fleet that rejects most requests after all of its processes
+// were killed: before the first digest, a counter has the parts of the VMs that
+// ask it.
+func TestPartBeforeTheFirstDigest(t *testing.T) {
+	m := New("a", 1, 0)
+	m.SetRoster([]Member{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}})
+	require.InDelta(t, 0.25, m.Part(0, "hot", 100), 1e-9)
+	m.HandleAsk(0, "b")
+	m.HandleAsk(0, "c")
+	m.HandleAsk(time.Second, "c")
+	require.InDelta(t, 0.75, m.Part(time.Second, "hot", 100), 1e-9)
+	require.InDelta(t, 0.5, m.Part(askedFor+time.Millisecond, "hot", 100), 1e-9)
+}
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -1,10 +1,3 @@
-// Package ratelimit counts the requests of a client account at one VM against
-// this VM's part of the account's rate, and divides a rate among VMs.
-//
-// The load pattern it answers: one account sends many times its rate through
-// all VMs, or all callers of an account move from some VMs to others at once.
-// The parts of all VMs add up to the rate, so the fleet as a whole stays
-// within it without a message per request.
 package ratelimit
 
 import "time"
@@ -58,15 +51,15 @@
 	}
 }
 
-// Part returns the fraction of a rate that a VM may use: demand is what it is
-// asked for, sum what all VMs are asked for, in requests per second, and vms
-// their number. The fractions of all VMs add up to 1.
+// Part returns the fraction of a rate that a holder may use: demand is what it
+// is asked for, sum what all holders are asked for, in requests per second, and
+// holders their number. The fractions of all holders add up to 1.
 //
 // Demands that fit are met and the rest of the rate is divided equally, so that
-// a VM to which callers move has room at once. Demands that do not fit are met
+// a holder to which callers move has room at once. Demands that do not fit are met
 // in proportion, apart from a small equal part.
-func Part(rate, demand, sum float64, vms int) float64 {
-	n := float64(max(1, vms))
+func Part(rate, demand, sum float64, holders int) float64 {
+	n := float64(max(1, holders))
 	switch {
 	case rate <= 0 || sum <= 0:
 		return 1 / n
@@ -77,6 +70,116 @@
 	}
 }
 
-// equalPart of a rate goes to all VMs alike also when demand exceeds it, so
+// equalPart of a rate goes to all holders alike also when demand exceeds it, so
 // that callers that move are not all rejected until the next division.
 const equalPart = 0.1
+
+// Wallet holds tokens that a VM got from the VM which counts an account in its
+// region, for its next requests. Tokens that are not used soon are lost, so
+// that a VM which loses its callers does not hold on to the account's rate.
+type Wallet struct {
+	tokens  int
+	expires time.Duration
+	// used counts the requests since the last Used.
+	used int
+	rate meter
+}
+
+const (
+	// walletLife is how long tokens may be kept.
+	walletLife = 300 * time.Millisecond
+	// prefetch is for how long the tokens of one question are meant to last.
+	prefetch = 100 * time.Millisecond
+	// maxPrefetch bounds the tokens of one question.
+	maxPrefetch = 16
+)
+
+// Take counts a request and takes a token if there is one.
+func (w *Wallet) Take(now time.Duration) bool {
+	w.used++
+	w.rate.add(now)
+	if now >= w.expires {
+		w.tokens = 0
+	}
+	if w.tokens == 0 {
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+// Want returns how many tokens to ask for, the one for this request included.
+func (w *Wallet) Want() int {
+	return min(max(1, int(w.rate.perSecond*prefetch.Seconds())), maxPrefetch)
+}
+
+// Used returns the number of requests since the last call.
+func (w *Wallet) Used() int {
+	n := w.used
+	w.used = 0
+	return n
+}
+
+// Put adds tokens.
+func (w *Wallet) Put(now time.Duration, n int) {
+	if now >= w.expires {
+		w.tokens = 0
+	}
+	w.tokens += n
+	w.expires = now + walletLife
+}
+
+// meter measures a rate over windows of a second.
+type meter struct {
+	perSecond float64
+	count     int
+	since     time.Duration
+}
+
+func (m *meter) add(now time.Duration) {
+	m.count++
+	if passed := now - m.since; passed >= time.Second {
+		m.perSecond = float64(m.count) / passed.Seconds()
+		m.count, m.since = 0, now
+	}
+}
+
+// Grant takes up to want tokens, or tells in how long there will be one.
+func (b *Bucket) Grant(now time.Duration, want int) (granted int, wait time.Duration) {
+	b.refill(now)
+	granted = min(want, int(b.tokens))
+	if granted > 0 {
+		b.tokens -= float64(granted)
+		return granted, 0
+	}
+	_, wait = b.Take(now)
+	return 0, wait
+}
+
+// Allowance is what an account may send beyond its rate and burst before its
+// limit counts as broken.
+type Allowance struct {
+	// Tolerance is a share of rate and burst, Slack a number of requests.
+	Tolerance, Slack float64
+}
+
+// allowanceUsed is the part of an allowance that is used, so that requests
+// which arrive unevenly are not rejected within the rate; the rest covers
+// counts that overlap while VMs come and go.
+const allowanceUsed = 0.5
+
+// Share returns rate and burst of a holder of a part.
+func (a Allowance) Share(rate, burst, part float64) (partRate, partBurst float64) {
+	more := 1 + a.Tolerance*allowanceUsed
+	return rate * part * more, max(1, (burst*more+a.Slack*allowanceUsed)*part)
+}
+
+// firstFill is the part of its burst that a bucket starts with when a VM takes
+// over an account, so that the account's callers are not rejected meanwhile.
+const firstFill = 0.5
+
+// Start fills a new bucket.
+func (b *Bucket) Start(now time.Duration, rate, burst float64) {
+	b.Set(now, rate, burst)
+	b.tokens = burst * firstFill
+}
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -65,7 +65,8 @@
 		if now%time.Second == 0 {
 			for i := range buckets {
 				part := Part(rate, old[i], sum, vms)
-				buckets[i].Set(now, rate*part, burst*part)
+				partRate, partBurst := Allowance{Tolerance: 0.1, Slack: 20}.Share(rate, burst, part)
+				buckets[i].Set(now, partRate, partBurst)
 				old[i] = 0
 			}
 			old[target], sum = 800, 800
@@ -112,3 +113,61 @@
 	require.False(t, ok)
 	require.Equal(t, maxWait, wait)
 }
+
+// Replays an account with a small rate whose callers use eighty VMs: a fifth of
+// a request per second each. Guards against rejecting it within its rate: split
+// into eighty buckets of less than a token, a third of its requests were
+// rejected.
+func TestSmallRateOverManyVMs(t *testing.T) {
+	const vms, regions, rate = 80, 3, 20.0
+	random := rand.New(rand.NewPCG(3, 5))
+	counters := make([]Bucket, regions)
+	wallets := make([]Wallet, vms)
+	allowance := Allowance{Tolerance: 0.1, Slack: 20}
+	for i := range counters {
+		partRate, partBurst := allowance.Share(rate, rate, 1.0/regions)
+		counters[i].Start(0, partRate, partBurst)
+	}
+	var asked, rejected int
+	next := time.Duration(0)
+	for now := time.Duration(0); now < 60*time.Second; now += time.Millisecond {
+		for now >= next {
+			next += time.Duration(random.ExpFloat64() / (rate * 0.8) * float64(time.Second))
+			vm := random.IntN(vms)
+			asked++
+			if wallets[vm].Take(now) {
+				continue
+			}
+			granted, _ := counters[vm%regions].Grant(now, wallets[vm].Want())
+			if granted == 0 {
+				rejected++
+				continue
+			}
+			wallets[vm].Put(now, granted-1)
+		}
+	}
+	require.Greater(t, asked, 800)
+	require.LessOrEqual(t, rejected, asked/100)
+}
+
+// Guards against tokens that a VM keeps after its callers have left.
+func TestWalletExpires(t *testing.T) {
+	var w Wallet
+	w.Put(0, 3)
+	require.True(t, w.Take(walletLife-1))
+	require.False(t, w.Take(walletLife))
+	require.Equal(t, 2, w.Used())
+	require.Zero(t, w.Used())
+	require.Equal(t, 1, w.Want())
+}
+
+// Guards against a grant of more than there is, and against a false time.
+func TestGrant(t *testing.T) {
+	var b Bucket
+	b.Set(0, 10, 5)
+	n, _ := b.Grant(300*time.Millisecond, 10)
+	require.Equal(t, 3, n)
+	n, wait := b.Grant(300*time.Millisecond, 1)
+	require.Zero(t, n)
+	require.Equal(t, 100*time.Millisecond, wait)
+}
--- a/entry/gateway/demand.go
+++ b/entry/gateway/demand.go
@@ -22,13 +22,11 @@
 	}
 }
 
-// add counts a request of an account with an expected work at a service.
-func (d *demandMeter) add(account, service string, workMS float64) {
-	if account != "" {
-		d.arrived[account]++
-	}
-	d.worked[service] += workMS
-}
+// add counts requests of an account that this VM counts for its region.
+func (d *demandMeter) add(account string, requests int) { d.arrived[account] += float64(requests) }
+
+// work counts a request with an expected work at a service.
+func (d *demandMeter) work(service string, workMS float64) { d.worked[service] += workMS }
 
 // roll ends an interval.
 func (d *demandMeter) roll(now time.Duration) {
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -74,10 +74,17 @@
 	picker  *placement.Picker
 	peers   *exchange.Machine
 	vms     int
-	buckets map[string]*ratelimit.Bucket
-	budgets map[string]*retrybudget.Budget
-	flows   map[string]*regionflow.Flow
-	regions []string
+	// buckets are those of the accounts that this VM counts for its region,
+	// reserves are used where the VM that counts does not answer.
+	buckets, reserves map[string]*ratelimit.Bucket
+	wallets           map[string]*ratelimit.Wallet
+	// counters are the VMs that count the accounts in this region.
+	counters map[string]string
+	grants   map[uint64]chan grant
+	asked    uint64
+	budgets  map[string]*retrybudget.Budget
+	flows    map[string]*regionflow.Flow
+	regions  []string
 	// demanded are the services whose demand was measured.
 	demanded map[string]bool
 	splits   map[string]*placement.Split
@@ -95,8 +102,10 @@
 		relayWake: make(chan struct{}, 1), pulseWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
 		peers: exchange.New(settings.VM, start.UnixNano(), 0), vms: 1,
-		buckets: make(map[string]*ratelimit.Bucket), budgets: make(map[string]*retrybudget.Budget),
-		flows: make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
+		buckets: make(map[string]*ratelimit.Bucket), reserves: make(map[string]*ratelimit.Bucket),
+		wallets: make(map[string]*ratelimit.Wallet), counters: make(map[string]string), grants: make(map[uint64]chan grant),
+		budgets: make(map[string]*retrybudget.Budget),
+		flows:   make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
 		demand: newDemandMeter(), regions: regionsOf(settings), demanded: make(map[string]bool),
 	}
 	n.bounds.Store(&settings.Bounds)
@@ -256,6 +265,9 @@
 			go n.registerVM(ctx)
 		}
 		n.stepFlows(now)
+		if view := n.view.Load(); view.Config != nil {
+			n.setRates(now, view)
+		}
 		probes := n.picker.Probes(now)
 		n.mu.Unlock()
 		for _, s := range probes {
@@ -277,7 +289,7 @@
 	}
 	roster := make([]exchange.Member, 0, len(view.VMs))
 	for name, vm := range view.VMs {
-		roster = append(roster, exchange.Member{Name: name, Weight: vm.Weight})
+		roster = append(roster, exchange.Member{Name: name, Region: vm.Region, Weight: vm.Weight})
 	}
 	n.peers.SetRoster(roster)
 	n.vms = n.peers.Size()
@@ -285,24 +297,6 @@
 	n.setRates(now, view)
 }
 
-// setRates gives each account's bucket this VM's part of its rate; the caller
-// holds mu.
-func (n *Node) setRates(now time.Duration, view *catalog.View) {
-	for name, a := range view.Config.Accounts {
-		b := n.buckets[name]
-		if a.Rate <= 0 {
-			delete(n.buckets, name)
-			continue
-		}
-		if b == nil {
-			b = &ratelimit.Bucket{}
-			n.buckets[name] = b
-		}
-		part := n.peers.Part(now, name, a.Rate)
-		b.Set(now, a.Rate*part, max(1, a.Burst*part))
-	}
-}
-
 // stepFlows moves the shares of the regions; the caller holds mu.
 func (n *Node) stepFlows(now time.Duration) {
 	view := n.view.Load()
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -18,6 +18,8 @@
 	Report *exchange.Report `json:"report,omitempty"`
 	Digest *exchange.Digest `json:"digest,omitempty"`
 	Pulse  *exchange.Pulse  `json:"pulse,omitempty"`
+	Take   *take            `json:"take,omitempty"`
+	Grant  *grant           `json:"grant,omitempty"`
 }
 
 // receivePeers takes the messages of the other VMs.
@@ -39,13 +41,23 @@
 			continue
 		}
 		n.mu.Lock()
-		n.handle(n.now(), d)
+		reply, to := n.handle(n.now(), d)
 		n.mu.Unlock()
+		if to != "" {
+			n.send(to, reply)
+		}
 	}
 }
 
-// handle takes one message; the caller holds mu.
-func (n *Node) handle(now time.Duration, d datagram) {
+// handle takes one message and returns the reply to it, if there is one; the
+// caller holds mu.
+func (n *Node) handle(now time.Duration, d datagram) (reply datagram, to string) {
+	if d.Take != nil {
+		return n.handleTake(now, *d.Take)
+	}
+	if d.Grant != nil {
+		n.handleGrant(*d.Grant)
+	}
 	if d.Report != nil {
 		n.peers.HandleReport(now, *d.Report)
 	}
@@ -59,6 +71,7 @@
 			n.setRates(now, view)
 		}
 	}
+	return datagram{}, ""
 }
 
 // exchangeLoop reports to the hubs, and answers the other VMs as a hub.
@@ -80,7 +93,7 @@
 		}
 		for vm, digest := range n.leadDigests(now) {
 			if vm == n.settings.VM {
-				n.handle(now, datagram{Digest: &digest})
+				_, _ = n.handle(now, datagram{Digest: &digest})
 				continue
 			}
 			d := out[vm]
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -127,7 +127,7 @@
 		wait = min(wait, r.route.Timeout)
 	}
 	r.deadline = r.in.Arrived.Add(wait)
-	if a := r.limit(); a != nil {
+	if a := r.limit(ctx); a != nil {
 		return a
 	}
 	a := r.forward(ctx)
@@ -169,12 +169,23 @@
 	return answer(status, r.caller.Attempt, retryAfter)
 }
 
-// limit takes a token of the client account's rate.
-func (r *request) limit() *ingress.Answer {
+// limit places the request and takes a token of the client account's rate.
+func (r *request) limit(ctx context.Context) *ingress.Answer {
+	r.classify()
+	if r.account == nil || r.account.Rate <= 0 {
+		return nil
+	}
+	if ok, wait := r.node.takeToken(ctx, r.account); !ok {
+		return r.reject(http.StatusTooManyRequests, wait, "account exceeds its rate")
+	}
+	return nil
+}
+
+// classify chooses service and region, and counts the request as demand.
+func (r *request) classify() {
 	n := r.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.now()
 	service := n.partOf(r.route)
 	r.place = placement.Request{
 		Service: service, Class: r.route.Name, Rank: steering.RankOf(r.route, r.account), Objective: r.route.Objective,
@@ -183,32 +194,8 @@
 	if r.route.Affinity && r.caller.Object != "" {
 		r.place.Object = placement.HashObject(r.route.Name, r.caller.Object)
 	}
-	name := ""
-	if r.account != nil {
-		name = r.account.Name
-	}
-	n.demand.add(name, service, n.picker.WorkMS(&r.place))
+	n.demand.work(service, n.picker.WorkMS(&r.place))
 	r.place.Region = n.regionOf(r, service)
-	if r.account == nil {
-		return nil
-	}
-	if bucket := n.buckets[r.account.Name]; bucket != nil {
-		if ok, wait := bucket.Take(now); !ok {
-			return r.reject(http.StatusTooManyRequests, wait, "account exceeds its rate")
-		}
-	}
-	return nil
-}
-
-func (n *Node) returnToken(a *steering.Account) {
-	if a == nil {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if b := n.buckets[a.Name]; b != nil {
-		b.Return()
-	}
 }
 
 // partOf chooses the service of a route's next request; the caller holds mu.
