--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -71,7 +71,7 @@
 type Report struct {
 	VM     string `json:"vm"`
 	Region string `json:"region"`
-	// Born and Seq order the reports of one VM.
+	// Born identifies one start of the VM, and Seq orders its reports.
 	Born int64  `json:"born"`
 	Seq  uint64 `json:"seq"`
 	// Demand is in requests per second for each client account that this VM
@@ -271,7 +271,7 @@
 		return
 	}
 	old := m.pulses[p.Hub]
-	if old != nil && (p.Born < old.Born || p.Born == old.Born && p.Seq <= old.Seq) {
+	if old != nil && p.Born == old.Born && p.Seq <= old.Seq {
 		return
 	}
 	m.pulses[p.Hub] = &pulse{p, now}
@@ -312,7 +312,7 @@
 // HandleReport takes a report of a VM, this one included.
 func (m *Machine) HandleReport(now time.Duration, r Report) {
 	old := m.members[r.VM]
-	if old != nil && (r.Born < old.report.Born || r.Born == old.report.Born && r.Seq <= old.report.Seq) {
+	if old != nil && r.Born == old.report.Born && r.Seq <= old.report.Seq {
 		return
 	}
 	m.members[r.VM] = &member{report: r, heard: now}
@@ -325,7 +325,7 @@
 	if rank < 0 {
 		return
 	}
-	if m.heard && d.Hub == m.digest.Hub && (d.Born < m.digest.Born || d.Born == m.digest.Born && d.Seq <= m.digest.Seq) {
+	if m.heard && d.Hub == m.digest.Hub && d.Born == m.digest.Born && d.Seq <= m.digest.Seq {
 		return
 	}
 	if m.heard && d.Hub != m.digest.Hub && rank > m.rank && now-m.heardAt < hubTimeout(len(m.roster)) {
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -272,18 +272,22 @@
 	}
 }
 
-// Guards against a restarted VM whose messages count as old ones.
+// Guards against a restarted VM whose messages count as old ones, whatever its
+// clock says, and against messages that arrive out of order.
 func TestRestartedVMIsHeard(t *testing.T) {
-	f := newFleet(t, 3)
-	f.rounds(10)
-	hub := f.machines[f.first()]
-	name := f.names()[0]
-	again := New(name, 2, f.now)
-	again.SetRoster(f.roster)
-	hub.HandleReport(f.now, again.Report("north", map[string]float64{"hot": 42}, nil, true))
-	require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
-	hub.HandleReport(f.now, Report{VM: name, Born: 1, Seq: 10_000})
-	require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
+	for _, born := range []int64{-5, 2} {
+		f := newFleet(t, 3)
+		f.rounds(10)
+		hub := f.machines[f.first()]
+		name := f.names()[0]
+		again := New(name, born, f.now)
+		again.SetRoster(f.roster)
+		early := again.Report("north", nil, nil, true)
+		late := again.Report("north", map[string]float64{"hot": 42}, nil, true)
+		hub.HandleReport(f.now, late)
+		hub.HandleReport(f.now, early)
+		require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
+	}
 }
 
 // Guards against removing the entries of VMs that are merely not heard.
--- a/core/steering/config.go
+++ b/core/steering/config.go
@@ -185,7 +185,7 @@
 	Region   string
 	Front    string
 	Exchange string
-	// Born identifies one start of the process, in Unix nanoseconds.
+	// Born identifies one start of the process; it has no order.
 	Born int64
 	// Weight is higher for VMs that can carry more.
 	Weight float64
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"reflect"
@@ -43,11 +44,17 @@
 	log      logr.Logger
 	metrics  *telemetry.Metrics
 	start    time.Time
+	// born identifies this start of the process. It is drawn at random, since
+	// the time of day may jump back between two starts.
+	born     int64
 	store    *adapter.Store
 	pool     *upstream.Pool
 	ingress  *ingress.Server
 	view     atomic.Pointer[catalog.View]
 	stopping atomic.Bool
+	// stopAt is when the process was told to stop, as a time.Duration since its
+	// start.
+	stopAt atomic.Int64
 	// operatorLost is set while the operator's rows cannot be read.
 	operatorLost atomic.Bool
 	// serversLost is set while the backend servers' entries cannot be read.
@@ -93,15 +100,15 @@
 
 // New returns a node that does not run yet.
 func New(settings adapter.Settings, log logr.Logger) *Node {
-	start := time.Now()
+	start, born := time.Now(), rand.Int64()
 	n := &Node{
-		settings: settings, log: log, start: start, metrics: telemetry.New(start),
+		settings: settings, log: log, start: start, born: born, metrics: telemetry.New(start),
 		store:    adapter.NewStore(settings.StoreAddress, newStoreTransport()),
 		pool:     upstream.NewPool(newServerDialer()),
 		failures: make(chan error, 1), relay: newRelayClient(), mirrors: newMirrors(),
 		relayWake: make(chan struct{}, 1), pulseWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
-		peers: exchange.New(settings.VM, start.UnixNano(), 0), vms: 1,
+		peers: exchange.New(settings.VM, born, 0), vms: 1,
 		buckets: make(map[string]*ratelimit.Bucket), reserves: make(map[string]*ratelimit.Bucket),
 		wallets: make(map[string]*ratelimit.Wallet), counters: make(map[string]string), grants: make(map[uint64]chan grant),
 		budgets: make(map[string]*retrybudget.Budget),
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -19,6 +19,9 @@
 	// unconfiguredRetry is when a caller may come back to a VM that has no
 	// configuration yet: reading it takes some round trips to the store.
 	unconfiguredRetry = 400 * time.Millisecond
+	// leavingRetry is when a caller of a leaving VM may come back: at once, on
+	// another VM.
+	leavingRetry = 50 * time.Millisecond
 	// answerSlack is how long after the deadline that a backend server was
 	// given its answer is awaited.
 	answerSlack = 100 * time.Millisecond
@@ -127,6 +130,9 @@
 		wait = min(wait, r.route.Timeout)
 	}
 	r.deadline = r.in.Arrived.Add(wait)
+	if r.node.endsBefore(r.deadline) {
+		return r.reject(http.StatusServiceUnavailable, leavingRetry, "VM is leaving")
+	}
 	if a := r.limit(ctx); a != nil {
 		return a
 	}
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -397,7 +397,7 @@
 func (n *Node) writeEntry(ctx context.Context, leaving bool) error {
 	raw, err := json.Marshal(vmEntry{
 		FailureDomain: n.settings.FailureDomain, Region: n.settings.Region, Front: n.settings.FrontAddress,
-		Exchange: n.exchangeAddress(), Born: n.start.UnixNano(), Leaving: leaving,
+		Exchange: n.exchangeAddress(), Born: n.born, Leaving: leaving,
 		Weight: n.settings.LinkMbps * n.settings.Cores,
 	})
 	if err != nil {
