--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -100,11 +100,15 @@
 
 // New returns a node that does not run yet.
 func New(settings adapter.Settings, log logr.Logger) *Node {
+	return newNode(settings, log, newServerDialer(), newStoreTransport())
+}
+
+func newNode(settings adapter.Settings, log logr.Logger, servers upstream.Dialer, store http.RoundTripper) *Node {
 	start, born := time.Now(), rand.Int64()
 	n := &Node{
 		settings: settings, log: log, start: start, born: born, metrics: telemetry.New(start),
-		store:    adapter.NewStore(settings.StoreAddress, newStoreTransport()),
-		pool:     upstream.NewPool(newServerDialer()),
+		store:    adapter.NewStore(settings.StoreAddress, store),
+		pool:     upstream.NewPool(servers),
 		failures: make(chan error, 1), relay: newRelayClient(), mirrors: newMirrors(),
 		relayWake: make(chan struct{}, 1), pulseWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
--- a/entry/gateway/tokens.go
+++ b/entry/gateway/tokens.go
@@ -110,7 +110,7 @@
 		b = &ratelimit.Bucket{}
 		n.reserves[a.Name] = b
 		rate, burst := n.share(a, n.peers.OwnPart())
-		b.Set(now, rate, burst)
+		b.Start(now, rate, burst)
 	}
 	return b
 }
