placement: no spill to a second server that is full

Cause: under overload requests spilled from the first server of an object to the second, whose own objects they pushed out; with two zones evacuated, three servers of a region then held 100 objects each where they keep 84.

--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -350,6 +350,8 @@
 			work, extra = c.warm, 0
 		case s == first:
 			extra = 0
+		case s == second && s.load(now) >= float64(s.told.Slots):
+			continue
 		case s == second && settled:
 			work, extra = (c.cold+c.warm)/2, extra/2
 		case s != second && s.load(now) > coldSpillLoad*float64(s.told.Slots):
