--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -20,11 +20,11 @@
 	queueCost = 0.25
 	// extraWorkCost weighs the extra work of a request at a server that is not
 	// warm for its object: it takes the place of other requests.
-	extraWorkCost = 0.5
+	extraWorkCost = 1.0
 	// coldSpillLoad is the utilization above which a server gets no requests
 	// for objects that it does not know: under overload they would push out the
 	// objects that it is warm for, and every server would do cold work only.
-	coldSpillLoad = 0.5
+	coldSpillLoad = 0.12
 	// spillPerRequest is the share of requests that may leave the region that
 	// the flow chose because its servers are full, and spillMax how many may
 	// do so at once. It stays below half of the bound on shifts of 15%.
@@ -47,7 +47,7 @@
 // a part of its objective, by rank. Under overload, the least important requests
 // are rejected first, and those that are accepted are still in time: with longer
 // queues every answer is late.
-var patience = []float64{0.9, 0.7, 0.5}
+var patience = []float64{0.7, 0.55, 0.4}
 
 func patienceOf(rank int) float64 {
 	return patience[min(max(rank, 0), len(patience)-1)]
@@ -350,7 +350,7 @@
 			work, extra = c.warm, 0
 		case s == first:
 			extra = 0
-		case s == second && s.load(now) >= float64(s.told.Slots):
+		case s == second && s.load(now) >= 0.5*float64(s.told.Slots):
 			continue
 		case s == second && settled:
 			work, extra = (c.cold+c.warm)/2, extra/2
