--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -19,12 +19,18 @@
 	// before queues form.
 	queueCost = 0.25
 	// extraWorkCost weighs the extra work of a request at a server that is not
-	// warm for its object: it takes the place of other requests.
-	extraWorkCost = 1.0
-	// coldSpillLoad is the utilization above which a server gets no requests
-	// for objects that it does not know: under overload they would push out the
-	// objects that it is warm for, and every server would do cold work only.
-	coldSpillLoad = 0.12
+	// warm for its object: it takes the place of other requests, and the object
+	// pushes out another one that is asked for again.
+	extraWorkCost = 2
+	// secondSpillLoad and coldSpillLoad are the utilizations above which a
+	// server gets no requests for objects that rank it second, or lower: under
+	// overload every server would do cold work only. A server that has got an
+	// object from this VM is warm for it and not bound by this, so that an
+	// object that is asked for a lot spreads.
+	// tooLongCost puts servers with room before those without.
+	tooLongCost     = 1e6
+	secondSpillLoad = 0.3
+	coldSpillLoad   = 0.05
 	// spillPerRequest is the share of requests that may leave the region that
 	// the flow chose because its servers are full, and spillMax how many may
 	// do so at once. It stays below half of the bound on shifts of 15%.
@@ -49,8 +55,9 @@
 // queues every answer is late.
 var patience = []float64{0.7, 0.55, 0.4}
 
-func patienceOf(rank int) float64 {
-	return patience[min(max(rank, 0), len(patience)-1)]
+// longestWait is the longest wait that a request is sent to, in milliseconds.
+func longestWait(r *Request) float64 {
+	return patience[min(max(r.Rank, 0), len(patience)-1)] * float64(r.Objective) / float64(time.Millisecond)
 }
 
 // Request is a request that needs a server.
@@ -305,7 +312,7 @@
 		return NoServer
 	case c.Expected > r.Remaining:
 		return NoTime
-	case c.wait > patienceOf(r.Rank)*float64(r.Objective)/float64(time.Millisecond):
+	case c.wait > longestWait(r):
 		return Overloaded
 	default:
 		return ""
@@ -336,6 +343,7 @@
 	var chosen *server
 	var choice Choice
 	lowest := math.Inf(1)
+	longest := longestWait(r)
 	for _, s := range list {
 		if !p.usable(now, s, r) {
 			continue
@@ -350,7 +358,7 @@
 			work, extra = c.warm, 0
 		case s == first:
 			extra = 0
-		case s == second && s.load(now) >= 0.5*float64(s.told.Slots):
+		case s == second && s.load(now) >= secondSpillLoad*float64(s.told.Slots):
 			continue
 		case s == second && settled:
 			work, extra = (c.cold+c.warm)/2, extra/2
@@ -364,6 +372,11 @@
 		n := s.load(now) / float64(s.told.Slots)
 		cost := expected + queueCost*min(n, 1)*min(n, 1)*g.meanMS +
 			extraWorkCost*extra + s.failing*failureCostMS + s.shedding*shedCostMS
+		// A server whose queue is too long is the last resort: where others
+		// have room, an object that is asked for a lot gets one more server.
+		if wait > longest {
+			cost += tooLongCost
+		}
 		if cost < lowest {
 			lowest, chosen = cost, s
 			choice = Choice{Server: s.told, Expected: time.Duration(expected * float64(time.Millisecond)), Warm: warm, wait: wait, work: usual}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -421,3 +421,15 @@
 	require.Equal(t, map[string]float64{"north": 8, "south": 4}, p.Capacity(0, "desk"))
 	require.Nil(t, p.Capacity(0, "none"))
 }
+
+// Replays one object that is asked for four times as often as one server can
+// answer, on servers that are otherwise idle. Guards against rejecting it
+// because only its first server is used.
+func TestHotObjectSpreads(t *testing.T) {
+	list := servers("north", 8, 4)
+	w := newWorld(picker(list), list, 40)
+	w.replay(133, 1, 5*time.Second)
+	w.served, w.late, w.turned = 0, 0, 0
+	w.replay(133, 1, 15*time.Second)
+	require.Less(t, w.turned+w.late, 133*15/20)
+}
