--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STATICCHECK := $(shell go env GOPATH)/bin/staticcheck
 export CGO_ENABLED := 1
 
-.PHONY: build test lint model measure capacity overhead demo faults generate tools
+.PHONY: build test lint model measure capacity overhead demo faults soak generate tools
 
 build:
 	go build -ldflags "-X main.version=$(VERSION)" -o bin/cassiawind ./cassiawind
@@ -42,6 +42,10 @@
 demo: build
 	bash standin/demo/run
 
+# Ten runs of the gateway processes under faults, with fresh seeds.
+soak: build
+	go run ./standin/cmd/soak -count 10
+
 # Needs protoc, protoc-gen-go and protoc-gen-connect-go.
 generate:
 	cd peerapi && protoc --go_out=. --go_opt=paths=source_relative \
--- /dev/null
+++ b/standin/platformstore/store_test.go
@@ -0,0 +1,58 @@
+package platformstore
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/platform"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+func client(t *testing.T) (*Store, *adapter.Store) {
+	s := New()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, adapter.NewStore(server.Listener.Addr().String(), http.DefaultTransport)
+}
+
+// Guards against a stand-in and a client that agree on something else than a
+// store: a feed has each change once, in order, deletions included.
+func TestFeed(t *testing.T) {
+	ctx := context.Background()
+	s, c := client(t)
+	require.NoError(t, c.Put(ctx, "vms", "a", []byte("1")))
+	all, err := c.Read(ctx, "vms")
+	require.NoError(t, err)
+	require.Len(t, all.Rows, 1)
+	require.Equal(t, "1", string(all.Rows[0].Value))
+
+	require.NoError(t, c.Put(ctx, "vms", "b", []byte("2")))
+	require.NoError(t, c.DeleteIf(ctx, "vms", "a", all.Rows[0].Version))
+	require.ErrorIs(t, c.DeleteIf(ctx, "vms", "b", 99), platform.ErrConflict)
+	changes, err := c.Feed(ctx, "vms", all.Version, time.Second)
+	require.NoError(t, err)
+	require.Len(t, changes.Rows, 2)
+	require.True(t, changes.Rows[1].Deleted)
+
+	s.DropHistory()
+	_, err = c.Feed(ctx, "vms", all.Version, time.Second)
+	require.ErrorIs(t, err, adapter.ErrHistoryGone)
+}
+
+// Guards against faults that do not fail as told: a refused write was not done,
+// one with a lost answer was.
+func TestFaults(t *testing.T) {
+	ctx := context.Background()
+	s, c := client(t)
+	s.SetFaults(Faults{Busy: true})
+	require.ErrorIs(t, c.Put(ctx, "vms", "a", nil), platform.ErrUnavailable)
+	require.Empty(t, s.Rows("vms"))
+	s.SetFaults(Faults{LoseAnswers: true})
+	require.ErrorIs(t, c.Put(ctx, "vms", "a", nil), platform.ErrOutcomeUnknown)
+	require.Len(t, s.Rows("vms"), 1)
+}
