gateway: a line per failed send, bounded log volume, cassiawind trace

Cause: a failed request had one line; which servers had it, what was expected and how old the digest was could not be told afterwards. Under overload the log grew with the load.

--- a/cassiawind/main.go
+++ b/cassiawind/main.go
@@ -42,7 +42,7 @@
 	parser.Description = "global traffic steering"
 	parser.Version = version
 	commands := []command{
-		gatewayCommand(), entryCommand(), checkCommand(), publishCommand(), statusCommand(),
+		gatewayCommand(), traceCommand(), entryCommand(), checkCommand(), publishCommand(), statusCommand(),
 		explainCommand(), locateCommand(), versionCommand(),
 	}
 	for _, c := range commands {
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -353,6 +353,10 @@
 	return free * ratelimit.Part(rate*free, m.reports[d.Ack][account], d.Demand[account], m.liveRegions(d))
 }
 
+// DigestAge returns how old the newest digest is, or how long this VM has had
+// none.
+func (m *Machine) DigestAge(now time.Duration) time.Duration { return now - max(m.heardAt, m.started) }
+
 // OwnPart returns the fraction of a rate that a VM may use which does not reach
 // the one that counts an account.
 func (m *Machine) OwnPart() float64 { return 1 / float64(m.Size()) }
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -461,6 +461,11 @@
 	Abandoned
 )
 
+// String implements fmt.Stringer.
+func (r Result) String() string {
+	return [...]string{"succeeded", "failed", "shed", "unreachable", "misdirected", "abandoned"}[r]
+}
+
 // Finished notes how a started request ended after elapsed.
 func (p *Picker) Finished(now time.Duration, r *Request, c Choice, result Result, elapsed time.Duration) {
 	s := p.servers[c.Server.ID]
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -20,6 +20,7 @@
 	"github.com/cassiawind/cassiawind/core/ratelimit"
 	"github.com/cassiawind/cassiawind/core/regionflow"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
+	"github.com/cassiawind/cassiawind/entry/eventlog"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 	"github.com/cassiawind/cassiawind/entry/telemetry"
 	"github.com/cassiawind/cassiawind/entry/upstream"
@@ -96,6 +97,7 @@
 	demanded map[string]bool
 	splits   map[string]*placement.Split
 	demand   *demandMeter
+	lines    *eventlog.Limiter
 }
 
 // New returns a node that does not run yet.
@@ -117,7 +119,7 @@
 		wallets: make(map[string]*ratelimit.Wallet), counters: make(map[string]string), grants: make(map[uint64]chan grant),
 		budgets: make(map[string]*retrybudget.Budget),
 		flows:   make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
-		demand: newDemandMeter(), regions: regionsOf(settings), demanded: make(map[string]bool),
+		demand: newDemandMeter(), lines: eventlog.NewLimiter(), regions: regionsOf(settings), demanded: make(map[string]bool),
 	}
 	n.bounds.Store(&settings.Bounds)
 	n.view.Store(&catalog.View{})
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -84,9 +84,37 @@
 	} else {
 		n.metrics.Rejected(account, statusName(a.Status))
 	}
+	now := n.now()
+	n.mu.Lock()
+	ok, omitted := n.lines.Allow(now, "request "+statusName(a.Status))
+	digestAge := n.peers.DigestAge(now)
+	counter := n.counters[account]
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
 	n.log.Info("request", "id", r.caller.Attempt, "status", a.Status, "account", account, "route", class,
 		"service", r.place.Service, "region", r.place.Region, "server", r.server, "sent", r.sent, "ms", elapsed.Milliseconds(),
-		"reason", r.reason, "config", configVersion(r), "rank", r.place.Rank)
+		"reason", r.reason, "rank", r.place.Rank, "expectedMS", r.expected.Milliseconds(), "waitMS", r.caller.Wait.Milliseconds(),
+		"config", configVersion(r), "digestAgeMS", digestAge.Milliseconds(), "counter", counter, "omitted", omitted)
+}
+
+// recordSend logs a send that brought no answer for the caller.
+func (n *Node) recordSend(r *request, choice placement.Choice, result placement.Result, cause string, elapsed time.Duration) {
+	n.metrics.Count(1, "sends", result.String())
+	if result == placement.Succeeded {
+		return
+	}
+	now := n.now()
+	n.mu.Lock()
+	ok, omitted := n.lines.Allow(now, "send "+result.String())
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	n.log.Info("send", "id", r.caller.Attempt, "result", result.String(), "server", choice.Server.ID, "service", r.place.Service,
+		"region", choice.Server.Region, "ms", elapsed.Milliseconds(), "expectedMS", choice.Expected.Milliseconds(),
+		"warm", choice.Warm, "cause", cause, "omitted", omitted)
 }
 
 func configVersion(r *request) uint64 {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/catalog"
@@ -100,6 +101,8 @@
 	last   *upstream.Answer
 	reason string
 	server string
+	// expected is the time to the answer that the last choice expected.
+	expected time.Duration
 }
 
 // Serve implements ingress.Handler.
@@ -267,6 +270,7 @@
 	r.place.Remaining = time.Until(r.deadline)
 	r.place.Waited = time.Since(r.in.Arrived)
 	choice := n.picker.Pick(now, &r.place)
+	r.expected = choice.Expected
 	if choice.Server == nil {
 		return choice, false
 	}
@@ -313,6 +317,13 @@
 	}
 	result := resultOf(got, err)
 	r.learn(choice, got, trace, result, elapsed)
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	} else if result != placement.Succeeded {
+		cause = "status " + strconv.Itoa(got.Status)
+	}
+	n.recordSend(r, choice, result, cause, elapsed)
 	if err != nil {
 		return r.failedSend(ctx, err)
 	}
--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -16,10 +16,10 @@
 
 // run is one request that a backend server ran.
 type run struct {
-	at                      time.Time
-	server, zone            string
-	account, path, instance string
-	key                     bool
+	at            time.Time
+	server, zone  string
+	account, path string
+	key           bool
 }
 
 // ledger notes what backend servers ran. It is what callers' answers are
