--- a/cassiawind/trace.go
+++ b/cassiawind/trace.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 
-	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/entry/tracelog"
@@ -13,28 +12,16 @@
 
 func traceCommand() command {
 	sub := newSubcommand("trace", "follows one request through the logs of gateway processes",
-		"cassiawind trace 9c41d07be2a35f68 gateway-1.log gateway-2.log")
+		"cassiawind trace 9c41d07be2a35f68 --file gateway-1.log --file gateway-2.log")
 	var id string
-	sub.AddPositionalValue(&id, "ID", 1, true, "id of the caller's attempt")
-	return command{sub, func() error { return trace(id, sub) }}
-}
-
-// traceFiles are the arguments after the id; without any, the lines are read
-// from standard input.
-func traceFiles(sub *flaggy.Subcommand) []string {
 	var files []string
-	for i, arg := range os.Args {
-		if arg == sub.Name && i+2 <= len(os.Args) {
-			files = os.Args[i+2:]
-			break
-		}
-	}
-	return files
+	sub.AddPositionalValue(&id, "ID", 1, true, "id of the caller's attempt")
+	sub.StringSlice(&files, "f", "file", "log to read, may be repeated; standard input without any")
+	return command{sub, func() error { return trace(id, files) }}
 }
 
-func trace(id string, sub *flaggy.Subcommand) error {
+func trace(id string, files []string) error {
 	var t tracelog.Trace
-	files := traceFiles(sub)
 	if len(files) == 0 {
 		if err := t.Read(os.Stdin, "standard input", id); err != nil {
 			return err
