--- a/cassiawind/main.go
+++ b/cassiawind/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassiawind/cassiawind/declare"
 	"github.com/cassiawind/cassiawind/platform"
+	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
 // version is set by the linker.
@@ -69,7 +70,7 @@
 	fmt.Fprintln(os.Stderr, "cassiawind:", err)
 	var invalid declare.ValidationErrors
 	switch {
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.Is(err, adapter.ErrSettings):
 		return exitInvalid
 	case errors.Is(err, ErrUsage):
 		return exitUsage
@@ -103,17 +104,39 @@
 }
 
 func checkCommand() command {
-	sub := newSubcommand("check", "validates a folder of declarations", "cassiawind check examples/frameshare")
-	var dir string
-	sub.AddPositionalValue(&dir, "DIR", 1, true, "folder with the declarations")
+	sub := newSubcommand("check", "validates a folder of declarations or a settings file of the platform",
+		"cassiawind check examples/frameshare\n  cassiawind check --platform /etc/cassiawind/local.json")
+	var dir, platformFile string
+	sub.AddPositionalValue(&dir, "DIR", 1, false, "folder with the declarations")
+	sub.String(&platformFile, "", "platform", "settings file of the users' platform")
 	return command{sub, func() error {
-		folder, err := declare.LoadFolder(dir)
-		if err != nil {
-			return err
+		switch {
+		case platformFile != "":
+			return checkPlatform(platformFile)
+		case dir == "":
+			return errors.Wrap(ErrUsage, "DIR or --platform is missing")
+		default:
+			return checkFolder(dir)
 		}
-		c := folder.Config
-		fmt.Printf("%s: ok: %d files, %d client accounts, %d keys, %d services, %d routes, %d regions, %d client blocks, %d drains\n",
-			dir, len(folder.Files), len(c.Accounts), len(c.Keys), len(c.Services), len(c.Routes), len(c.Regions), len(c.Blocks), len(c.Drains))
-		return nil
 	}}
 }
+
+func checkPlatform(path string) error {
+	s, err := adapter.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok: VM %s in %s, %s; store %s\n", path, s.VM, s.FailureDomain, s.Region, s.StoreAddress)
+	return nil
+}
+
+func checkFolder(dir string) error {
+	folder, err := declare.LoadFolder(dir)
+	if err != nil {
+		return err
+	}
+	c := folder.Config
+	fmt.Printf("%s: ok: %d files, %d client accounts, %d keys, %d services, %d routes, %d regions, %d client blocks, %d drains\n",
+		dir, len(folder.Files), len(c.Accounts), len(c.Keys), len(c.Services), len(c.Routes), len(c.Regions), len(c.Blocks), len(c.Drains))
+	return nil
+}
