--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -22,15 +22,8 @@
 	// warm for its object: it takes the place of other requests, and the object
 	// pushes out another one that is asked for again.
 	extraWorkCost = 2
-	// secondSpillLoad and coldSpillLoad are the utilizations above which a
-	// server gets no requests for objects that rank it second, or lower: under
-	// overload every server would do cold work only. A server that has got an
-	// object from this VM is warm for it and not bound by this, so that an
-	// object that is asked for a lot spreads.
 	// tooLongCost puts servers with room before those without.
-	tooLongCost     = 1e6
-	secondSpillLoad = 0.3
-	coldSpillLoad   = 0.05
+	tooLongCost = 1e6
 	// spillPerRequest is the share of requests that may leave the region that
 	// the flow chose because its servers are full, and spillMax how many may
 	// do so at once. It stays below half of the bound on shifts of 15%.
@@ -49,6 +42,14 @@
 	maxRetryAfter = time.Second
 )
 
+// spillLoad is the utilization from which on a server gets no requests for
+// objects that it is not warm for, by its place in their ranking: under load
+// every server would do cold work. Rejecting them and serving them when they
+// come back serves more callers in time. A server that has got an object from
+// this VM is warm for it and not bound by this, so that an object that is asked
+// for a lot spreads.
+var spillLoad = [...]float64{secondPlace: 0.3, otherPlace: 0.05}
+
 // patience is the longest wait in a server's queue that a request is sent to, as
 // a part of its objective, by rank. Under overload, the least important requests
 // are rejected first, and those that are accepted are still in time: with longer
@@ -338,48 +339,16 @@
 		return Choice{}
 	}
 	first, second := p.ranking(list, r.Object)
-	c := p.class(r)
-	rtt := p.rtt(region)
 	var chosen *server
 	var choice Choice
 	lowest := math.Inf(1)
-	longest := longestWait(r)
 	for _, s := range list {
 		if !p.usable(now, s, r) {
 			continue
 		}
-		work, extra := c.cold, c.cold-c.warm
-		// Other VMs have warmed the first server of an object by the time
-		// that it has been in use for a while.
-		settled := s.used && now-s.usedSince > warmingTime
-		warm := r.Object == 0 || s == first && settled || s.isWarm(now, r.Object)
-		switch {
-		case warm:
-			work, extra = c.warm, 0
-		case s == first:
-			extra = 0
-		case s == second && s.load(now) >= secondSpillLoad*float64(s.told.Slots):
-			continue
-		case s == second && settled:
-			work, extra = (c.cold+c.warm)/2, extra/2
-		case s != second && s.load(now) > coldSpillLoad*float64(s.told.Slots):
-			continue
-		}
-		usual := work
-		work *= s.slow
-		wait := p.waitMS(now, g, s)
-		expected := rtt + wait + work
-		n := s.load(now) / float64(s.told.Slots)
-		cost := expected + queueCost*min(n, 1)*min(n, 1)*g.meanMS +
-			extraWorkCost*extra + s.failing*failureCostMS + s.shedding*shedCostMS
-		// A server whose queue is too long is the last resort: where others
-		// have room, an object that is asked for a lot gets one more server.
-		if wait > longest {
-			cost += tooLongCost
-		}
-		if cost < lowest {
-			lowest, chosen = cost, s
-			choice = Choice{Server: s.told, Expected: time.Duration(expected * float64(time.Millisecond)), Warm: warm, wait: wait, work: usual}
+		candidate, cost, ok := p.weigh(now, g, r, s, placeOf(s, first, second))
+		if ok && cost < lowest {
+			lowest, chosen, choice = cost, s, candidate
 		}
 	}
 	if chosen != nil && chosen.isCold(now) {
@@ -390,6 +359,61 @@
 	return choice
 }
 
+// place is where a server stands in the ranking of an object.
+type place int
+
+const (
+	firstPlace place = iota
+	secondPlace
+	otherPlace
+)
+
+func placeOf(s, first, second *server) place {
+	switch s {
+	case first:
+		return firstPlace
+	case second:
+		return secondPlace
+	default:
+		return otherPlace
+	}
+}
+
+// weigh returns what a request expects of a server and the cost of sending it
+// there; ok is false if the server has no room for it.
+func (p *Picker) weigh(now time.Duration, g *group, r *Request, s *server, at place) (c Choice, cost float64, ok bool) {
+	class := p.class(r)
+	load := s.load(now) / float64(s.told.Slots)
+	// Other VMs have warmed the first server of an object by the time that it
+	// has been in use for a while.
+	settled := s.used && now-s.usedSince > warmingTime
+	warm := r.Object == 0 || at == firstPlace && settled || s.isWarm(now, r.Object)
+	work, extra := class.cold, class.cold-class.warm
+	switch {
+	case warm:
+		work, extra = class.warm, 0
+	case at == firstPlace:
+		extra = 0
+	case load >= spillLoad[at]:
+		return Choice{}, 0, false
+	}
+	if at == secondPlace && settled && !warm {
+		work, extra = (class.cold+class.warm)/2, extra/2
+	}
+	wait := p.waitMS(now, g, s)
+	expected := p.rtt(s.told.Region) + wait + work*s.slow
+	cost = expected + queueCost*min(load, 1)*min(load, 1)*g.meanMS + extraWorkCost*extra +
+		s.failing*failureCostMS + s.shedding*shedCostMS
+	// A server whose queue is too long is the last resort: where others have
+	// room, an object that is asked for a lot gets one more server.
+	if wait > longestWait(r) {
+		cost += tooLongCost
+	}
+	return Choice{
+		Server: s.told, Expected: time.Duration(expected * float64(time.Millisecond)), Warm: warm, wait: wait, work: work,
+	}, cost, true
+}
+
 // waitMS is the expected wait in the queue of a server.
 func (p *Picker) waitMS(now time.Duration, g *group, s *server) float64 {
 	over := s.load(now) + 1 - float64(s.told.Slots)
