--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -60,8 +60,9 @@
 	operatorLost atomic.Bool
 	// serversLost is set while the backend servers' entries cannot be read.
 	serversLost atomic.Bool
-	// registering and registered tell about this VM's own entry.
-	registering, registered atomic.Bool
+	// registering is set while this VM's entry is written, entrySeen once the
+	// entry was read back: if it is gone then, it has to be written again.
+	registering, entrySeen atomic.Bool
 	// storeHeard is when the store answered last, as a time.Duration.
 	storeHeard atomic.Int64
 	relay      *http.Client
@@ -273,8 +274,8 @@
 		if n.catalog.Expire(now) {
 			n.rebuild(now)
 		}
-		if view := n.view.Load(); n.registered.Load() && view.Ready && view.VMs[n.settings.VM] == nil && !n.stopping.Load() {
-			n.registered.Store(false)
+		if n.entrySeen.Load() && n.view.Load().VMs[n.settings.VM] == nil && !n.stopping.Load() {
+			n.entrySeen.Store(false)
 			go n.registerVM(ctx)
 		}
 		n.stepFlows(now)
@@ -304,6 +305,9 @@
 	for name, vm := range view.VMs {
 		roster = append(roster, exchange.Member{Name: name, Region: vm.Region, Weight: vm.Weight})
 	}
+	if view.VMs[n.settings.VM] != nil {
+		n.entrySeen.Store(true)
+	}
 	n.peers.SetRoster(roster)
 	n.vms = n.peers.Size()
 	n.picker.SetVMs(now, sortedKeys(view.VMs))
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -384,7 +384,6 @@
 	for ctx.Err() == nil && !n.stopping.Load() {
 		if err := n.writeEntry(ctx, false); err == nil {
 			n.log.Info("VM registered", "vm", n.settings.VM)
-			n.registered.Store(true)
 			return
 		} else {
 			n.log.Info("VM not registered", "vm", n.settings.VM, "error", err.Error())
--- a/standin/soak/world.go
+++ b/standin/soak/world.go
@@ -86,7 +86,10 @@
 	accounts map[string]*account
 	hall     bool
 	history  []fact
-	tasks    sync.WaitGroup
+	// busy are the failure domains and servers that an event holds: a second
+	// one would end with the first.
+	busy  map[string]bool
+	tasks sync.WaitGroup
 }
 
 // fact is something that was done to the system, for the checks.
@@ -115,7 +118,7 @@
 
 func newWorld(opt Options) (*world, error) {
 	w := &world{
-		opt: opt, store: platformstore.New(), ledger: &ledger{runs: make(map[string][]run)}, answers: &answers{},
+		opt: opt, store: platformstore.New(), ledger: &ledger{runs: make(map[string][]run)}, answers: &answers{}, busy: make(map[string]bool),
 		accounts: map[string]*account{
 			"free": {Keys: []string{"free-1", "free-2"}}, limited: {Keys: []string{"limited-1"}, Rate: limitedRate, Burst: limitedBurst},
 		},
@@ -313,6 +316,23 @@
 	}
 }
 
+// claim reserves a failure domain or a server for one event.
+func (w *world) claim(thing string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy[thing] {
+		return false
+	}
+	w.busy[thing] = true
+	return true
+}
+
+func (w *world) release(thing string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.busy, thing)
+}
+
 // note remembers a fact from its beginning on; the result ends it.
 func (w *world) note(f fact) func() {
 	w.mu.Lock()
@@ -332,7 +352,7 @@
 	f := fact{kind: e.Kind, target: e.Target}
 	switch e.Kind {
 	case ServerLeaves, ServerSlow, ServerShed, ServerFails, ServerHangs, ServerGarbles:
-		f.server, f.zone = w.backs[e.Target].id, w.backs[e.Target].zone
+		f.server = w.backs[e.Target].id
 	case Evacuate:
 		f.zone = zones[e.Target%len(zones)]
 	}
@@ -340,6 +360,12 @@
 		w.withdraw(f)
 		return
 	}
+	if thing := f.zone + f.server; thing != "" {
+		if !w.claim(thing) {
+			return
+		}
+		defer w.release(thing)
+	}
 	end := w.note(f)
 	defer end()
 	switch e.Kind {
