regionflow: demand that only one region may serve counts there

Accounts with a single home region loaded the region with two calendar servers; the flow counted their demand where their callers are and kept the other callers of the full region there. Change: reports tell pinned work by the region that must serve it; the flow gives it capacity first, and the shares assumed before any demand was measured count accounts with one home by their rates.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -77,8 +77,10 @@
 	// Demand is in requests per second for each client account that this VM
 	// counts for its region, the rejected ones included.
 	Demand map[string]float64 `json:"demand,omitempty"`
-	// Work is the demand in busy slots for each service.
-	Work map[string]float64 `json:"work,omitempty"`
+	// Work is the demand in busy slots for each service that may be served in
+	// any region, and Pinned what only one region may serve, by region.
+	Work   map[string]float64            `json:"work,omitempty"`
+	Pinned map[string]map[string]float64 `json:"pinned,omitempty"`
 	// Unready VMs are not named to callers.
 	Unready bool `json:"unready,omitempty"`
 }
@@ -97,8 +99,10 @@
 	Demand map[string]float64 `json:"demand,omitempty"`
 	Live   int                `json:"live"`
 	Size   int                `json:"size"`
-	// Work is the demand in busy slots by region and service.
-	Work map[string]map[string]float64 `json:"work,omitempty"`
+	// Work is the demand in busy slots by the region of the callers and by
+	// service, Pinned that by the only region that may serve it.
+	Work   map[string]map[string]float64 `json:"work,omitempty"`
+	Pinned map[string]map[string]float64 `json:"pinned,omitempty"`
 	// Settled is set once the hub has listened long enough to know who is not
 	// alive.
 	Settled bool `json:"settled,omitempty"`
@@ -285,16 +289,34 @@
 }
 
 // Report returns this VM's next report.
-func (m *Machine) Report(region string, demand, work map[string]float64, ready bool) Report {
+func (m *Machine) Report(region string, demand map[string]float64, work Work, ready bool) Report {
 	m.seq++
-	demand, work = rounded(demand), rounded(work)
+	demand = rounded(demand)
 	m.reports[m.seq] = demand
 	for seq := range m.reports {
 		if len(m.reports) > keptReports && seq+4*keptReports < m.seq {
 			delete(m.reports, seq)
 		}
 	}
-	return Report{VM: m.self, Region: region, Born: m.born, Seq: m.seq, Demand: demand, Work: work, Unready: !ready}
+	return Report{VM: m.self, Region: region, Born: m.born, Seq: m.seq, Demand: demand, Work: rounded(work.Free), Pinned: roundedAll(work.Pinned), Unready: !ready}
+}
+
+// Work is what the callers of a VM ask for, in busy slots by service.
+type Work struct {
+	// Free work may be served in any region, Pinned only in the one that is its
+	// first key.
+	Free   map[string]float64
+	Pinned map[string]map[string]float64
+}
+
+func roundedAll(values map[string]map[string]float64) map[string]map[string]float64 {
+	out := make(map[string]map[string]float64, len(values))
+	for k, v := range values {
+		if v = rounded(v); len(v) > 0 {
+			out[k] = v
+		}
+	}
+	return out
 }
 
 // rounded keeps messages short: a tenth of a request per second is less than
@@ -447,7 +469,7 @@
 	m.seq++
 	base := Digest{
 		Hub: m.self, Born: m.born, Seq: m.seq, Size: m.Size(), Settled: now-m.started > silentAfter,
-		Demand: make(map[string]float64), Work: make(map[string]map[string]float64),
+		Demand: make(map[string]float64), Work: make(map[string]map[string]float64), Pinned: make(map[string]map[string]float64),
 	}
 	digests := make(map[string]Digest, len(m.roster))
 	for _, vm := range m.roster {
@@ -461,15 +483,12 @@
 			base.Unready = append(base.Unready, vm)
 		}
 		add(base.Demand, o.report.Demand)
-		if base.Work[o.report.Region] == nil {
-			base.Work[o.report.Region] = make(map[string]float64)
+		addAll(base.Work, o.report.Region, o.report.Work)
+		for region, work := range o.report.Pinned {
+			addAll(base.Pinned, region, work)
 		}
-		add(base.Work[o.report.Region], o.report.Work)
-	}
-	base.Demand = rounded(base.Demand)
-	for region, work := range base.Work {
-		base.Work[region] = rounded(work)
 	}
+	base.Demand, base.Work, base.Pinned = rounded(base.Demand), roundedAll(base.Work), roundedAll(base.Pinned)
 	for _, vm := range m.roster {
 		if o := m.members[vm]; o != nil && now-o.heard < silentAfter {
 			d := base
@@ -480,6 +499,13 @@
 	return digests
 }
 
+func addAll(sums map[string]map[string]float64, region string, values map[string]float64) {
+	if sums[region] == nil {
+		sums[region] = make(map[string]float64)
+	}
+	add(sums[region], values)
+}
+
 func add(sum, values map[string]float64) {
 	for k, v := range values {
 		sum[k] += v
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -73,7 +73,7 @@
 		if f.dead[name] {
 			continue
 		}
-		r := m.Report("north", map[string]float64{"hot": f.demand[name]}, nil, true)
+		r := m.Report("north", map[string]float64{"hot": f.demand[name]}, Work{}, true)
 		for _, hub := range m.Hubs(f.now) {
 			f.deliver(hub, r, func(h *Machine) { h.HandleReport(f.now, r) })
 		}
@@ -263,7 +263,7 @@
 		for a := range accounts {
 			demand[fmt.Sprintf("acct%03d", a)] = float64(a+i) / 7
 		}
-		hub.HandleReport(f.now, f.machines[name].Report("north", demand, map[string]float64{"desk": 3}, true))
+		hub.HandleReport(f.now, f.machines[name].Report("north", demand, Work{Free: map[string]float64{"desk": 3}}, true))
 	}
 	for _, d := range hub.Digests(f.now) {
 		raw, err := json.Marshal(d)
@@ -282,8 +282,8 @@
 		name := f.names()[0]
 		again := New(name, born, f.now)
 		again.SetRoster(f.roster)
-		early := again.Report("north", nil, nil, true)
-		late := again.Report("north", map[string]float64{"hot": 42}, nil, true)
+		early := again.Report("north", nil, Work{}, true)
+		late := again.Report("north", map[string]float64{"hot": 42}, Work{}, true)
 		hub.HandleReport(f.now, late)
 		hub.HandleReport(f.now, early)
 		require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
@@ -356,3 +356,16 @@
 	require.InDelta(t, 0.75, m.Part(time.Second, "hot", 100), 1e-9)
 	require.InDelta(t, 0.5, m.Part(askedFor+time.Millisecond, "hot", 100), 1e-9)
 }
+
+// Guards against demand that only one region may serve and that no region
+// counts as its own.
+func TestPinnedWorkCountsWhereItMustBeServed(t *testing.T) {
+	m := New("a", 1, 0)
+	m.SetRoster([]Member{{Name: "a", Region: "north"}, {Name: "b", Region: "south"}})
+	pinned := map[string]map[string]float64{"north": {"desk": 2}}
+	m.HandleReport(0, m.Report("north", nil, Work{Free: map[string]float64{"desk": 1}, Pinned: pinned}, true))
+	m.HandleReport(0, Report{VM: "b", Region: "south", Seq: 1, Work: map[string]float64{"desk": 4}, Pinned: pinned})
+	d := m.Digests(0)["a"]
+	require.Equal(t, map[string]map[string]float64{"north": {"desk": 1}, "south": {"desk": 4}}, d.Work)
+	require.Equal(t, map[string]map[string]float64{"north": {"desk": 4}}, d.Pinned)
+}
--- a/core/regionflow/regionflow.go
+++ b/core/regionflow/regionflow.go
@@ -74,15 +74,19 @@
 
 // Assume returns loads with the same demand for every region, for the time
 // before any was measured: regions with few servers then start with shares
-// elsewhere, which takes seconds to reach later.
-func Assume(loads []Load) []Load {
-	var capacity float64
+// elsewhere, which takes seconds to reach later. Pinned is the share of all
+// demand that only one region may serve, by that region.
+func Assume(loads []Load, pinned map[string]float64) []Load {
+	var capacity, free float64 = 0, 1
 	for _, l := range loads {
 		capacity += l.Capacity
+		free -= pinned[l.Region]
 	}
+	demand := assumedUtilization * capacity
 	out := make([]Load, len(loads))
 	for i, l := range loads {
-		l.Demand = assumedUtilization * capacity / float64(len(loads))
+		l.Capacity = max(0, l.Capacity-pinned[l.Region]*demand)
+		l.Demand = max(0, free) * demand / float64(len(loads))
 		out[i] = l
 	}
 	return out
--- a/core/regionflow/regionflow_test.go
+++ b/core/regionflow/regionflow_test.go
@@ -72,11 +72,19 @@
 // Guards against the first seconds of a day, in which a region with few
 // servers gets all of its requests because nothing was measured yet.
 func TestAssumedDemandSpreadsARegionWithFewServers(t *testing.T) {
-	unknown := Assume(loads(0))
+	unknown := Assume(loads(0), nil)
 	require.Less(t, Target("visayas", unknown)["visayas"], 0.6)
 	require.Greater(t, Target("luzon", unknown)["luzon"], 0.99)
 }
 
+// Guards against a region that keeps its callers' requests while accounts of
+// all regions may only be served there.
+func TestAssumedDemandCountsWhatIsPinned(t *testing.T) {
+	all := []Load{{"a", 0, 40}, {"b", 0, 40}}
+	require.Equal(t, map[string]float64{"a": 1}, Target("a", Assume(all, nil)))
+	require.Less(t, Target("a", Assume(all, map[string]float64{"a": 0.4}))["a"], 0.7)
+}
+
 // Guards against objects that change region though the shares did not.
 func TestChooseFollowsTheShares(t *testing.T) {
 	var f Flow
--- a/core/steering/config.go
+++ b/core/steering/config.go
@@ -158,6 +158,42 @@
 	return a == nil || len(a.Homes) == 0 || slices.Contains(a.Homes, region)
 }
 
+// OnlyHome returns the region that alone may serve a request, or an empty text
+// if several may.
+func OnlyHome(r *Route, a *Account, regions []string) string {
+	home := ""
+	for _, region := range regions {
+		if !Allowed(r, a, region) {
+			continue
+		}
+		if home != "" {
+			return ""
+		}
+		home = region
+	}
+	return home
+}
+
+// PinnedShares returns the share of all accounts' rates that belongs to accounts
+// which only one region may serve, by that region. Accounts without a rate do
+// not count.
+func (c *Config) PinnedShares() map[string]float64 {
+	shares := make(map[string]float64)
+	var sum float64
+	for _, a := range c.Accounts {
+		sum += a.Rate
+		if len(a.Homes) == 1 {
+			shares[a.Homes[0]] += a.Rate
+		}
+	}
+	for region, rate := range shares {
+		if sum > 0 {
+			shares[region] = rate / sum
+		}
+	}
+	return shares
+}
+
 // Server is one backend server as it was last told.
 type Server struct {
 	ID      string
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -337,10 +337,12 @@
 			if demand > 0 {
 				n.demanded[service] = true
 			}
-			loads = append(loads, regionflow.Load{Region: r, Demand: demand, Capacity: capacity[r]})
+			// What only this region may serve goes before what may move.
+			left := max(0, capacity[r]-digest.Pinned[r][service])
+			loads = append(loads, regionflow.Load{Region: r, Demand: demand, Capacity: left})
 		}
 		if !n.demanded[service] {
-			loads = regionflow.Assume(loads)
+			loads = regionflow.Assume(loads, view.Config.PinnedShares())
 		}
 		// A third of the bound on shifts within 2 s: the rest is left for
 		// requests that spill.
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -82,7 +82,8 @@
 		view := n.view.Load()
 		interval := exchange.Interval(n.peers.Size())
 		n.demand.roll(now)
-		report := n.peers.Report(n.settings.Region, n.demand.accounts(), n.demand.services(), !n.stopping.Load() && view.Ready)
+		accounts, work := n.demand.report()
+		report := n.peers.Report(n.settings.Region, accounts, work, !n.stopping.Load() && view.Ready)
 		out := make(map[string]datagram)
 		for _, hub := range n.peers.Hubs(now) {
 			if hub == n.settings.VM {
