placement: a mute server is probed at once; bodies in memory are bounded

Cause: a server that is gone without a word cost four requests of each VM their whole time before it was suspended. Bodies up to 64 MB are read whole: a few of them exceeded the memory of a VM. Change: a send without an answer in time suspends the server until a probe; all bodies together stay below 64 MB, beyond it callers get 503.

--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -475,6 +475,8 @@
 	Succeeded Result = iota
 	// Failed means a failure answer, a broken answer or none in time.
 	Failed
+	// Mute means that no answer came in time.
+	Mute
 	// Shed means that the server rejected the request without running it.
 	Shed
 	// Unreachable means that no connection was made.
@@ -487,7 +489,7 @@
 
 // String implements fmt.Stringer.
 func (r Result) String() string {
-	return [...]string{"succeeded", "failed", "shed", "unreachable", "misdirected", "abandoned"}[r]
+	return [...]string{"succeeded", "failed", "mute", "shed", "unreachable", "misdirected", "abandoned"}[r]
 }
 
 // Finished notes how a started request ended after elapsed.
@@ -512,6 +514,11 @@
 			s.failures = 0
 			s.suspend(now)
 		}
+	case Mute:
+		// A server that is gone without a word costs each request its whole
+		// time; a probe tells within a round trip whether it was only slow.
+		s.failing += (1 - s.failing) * markWeight
+		s.suspend(now)
 	case Shed:
 		s.shedding += (1 - s.shedding) * markWeight
 	case Unreachable, Misdirected:
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -336,6 +336,22 @@
 	require.False(t, p.servers[due[0].ID].suspect)
 }
 
+// Guards against a server that is gone without a word and gets requests until
+// several of them have waited their whole time.
+func TestMuteServerIsProbedAtOnce(t *testing.T) {
+	p := picker(servers("north", 2, 4))
+	r := request(0)
+	c := p.Pick(0, r)
+	p.Started(0, r, c)
+	p.Finished(time.Second, r, c, Mute, time.Second)
+	for range 10 {
+		require.NotEqual(t, c.Server.ID, p.Pick(time.Second, request(0)).Server.ID)
+	}
+	require.Len(t, p.Probes(time.Second+firstSuspension), 1)
+	p.Probed(2*time.Second, c.Server.ID, 0)
+	require.False(t, p.servers[c.Server.ID].suspect)
+}
+
 // Guards against a restarted server that inherits the marks of the one before,
 // and against requests to it at full rate while it is cold.
 func TestRestartUnderTheSameIDIsANewServer(t *testing.T) {
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -23,6 +23,8 @@
 		return placement.Abandoned
 	case notSent(err):
 		return placement.Unreachable
+	case timedOut(err):
+		return placement.Mute
 	default:
 		return placement.Failed
 	}
--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -39,10 +39,10 @@
 	Path string
 	// Body is the whole body.
 	Body []byte
-	// Chunked bodies came without a length.
-	Chunked bool
 	// Arrived is when its first byte was seen.
 	Arrived time.Time
+	// held is what the body counts for in Server.held.
+	held int64
 }
 
 // Answer is the answer to one request.
@@ -247,7 +247,7 @@
 	if status := checkTarget(hr); status != 0 {
 		return nil, status, nil
 	}
-	r := &Request{Request: hr, Arrived: arrived, Chunked: hr.ContentLength < 0}
+	r := &Request{Request: hr, Arrived: arrived}
 	r.Path, _, _ = strings.Cut(hr.RequestURI, "?")
 	return c.readBody(r, limits)
 }
@@ -276,19 +276,52 @@
 			return nil, 0, err
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Request.Body, limits.MaxBodyBytes+1))
+	body, err := io.ReadAll(&heldReader{c.server, r, io.LimitReader(r.Request.Body, limits.MaxBodyBytes+1)})
 	switch {
+	case errors.Is(err, errTooMuchHeld):
+		c.release(r)
+		return nil, http.StatusServiceUnavailable, nil
 	case err != nil && !isNetError(err) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.release(r)
 		return nil, http.StatusBadRequest, nil
 	case err != nil:
+		c.release(r)
 		return nil, 0, err
 	case int64(len(body)) > limits.MaxBodyBytes:
+		c.release(r)
 		return nil, http.StatusRequestEntityTooLarge, nil
 	}
 	r.Body = body
 	return r, 0, nil
 }
 
+// heldReader counts what it reads as held in memory by the server.
+type heldReader struct {
+	server  *Server
+	request *Request
+	r       io.Reader
+}
+
+// errTooMuchHeld means that the bodies in memory exceed their bound.
+var errTooMuchHeld = errors.New("too many request bodies in memory")
+
+func (h *heldReader) Read(p []byte) (int, error) {
+	n, err := h.r.Read(p)
+	h.request.held += int64(n)
+	if h.server.held.Add(int64(n)) > maxHeld {
+		return n, errTooMuchHeld
+	}
+	return n, err
+}
+
+// release ends the count of a request's body.
+func (c *conn) release(r *Request) {
+	if r != nil {
+		c.server.held.Add(-r.held)
+		r.held = 0
+	}
+}
+
 func isNetError(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF)
@@ -325,6 +358,7 @@
 		defer c.wg.Done()
 		defer c.server.end()
 		defer close(done)
+		defer c.release(r)
 		defer func() { <-c.slots }()
 		<-barrier
 		if c.isClosed() {
--- a/entry/ingress/ingress_test.go
+++ b/entry/ingress/ingress_test.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// Guards against bodies that fill the memory of the process: beyond the bound
+// callers are told to come back, and what was held is released.
+func TestBodiesInMemoryAreBounded(t *testing.T) {
+	h := newFake()
+	run(t, h, func(s *Server, c net.Conn, br *bufio.Reader) {
+		s.held.Store(maxHeld - 10)
+		send(c, "POST /a HTTP/1.1\nHost: h\nContent-Length: 10\n\n0123456789POST /b HTTP/1.1\nHost: h\nContent-Length: 11\n\n0123456789a")
+		r, _ := receive(t, br)
+		require.Equal(t, 200, r.StatusCode)
+		r, _ = receive(t, br)
+		require.Equal(t, 503, r.StatusCode)
+		time.Sleep(time.Second)
+		require.Equal(t, int64(maxHeld-10), s.held.Load())
+	})
+}
+
 // Guards against a request that is hidden in the body of another: a body has
 // one end, whatever lengths it states.
 func TestNoRequestInsideABody(t *testing.T) {
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,8 @@
 	closing  bool
 	inflight int
 	lastDone time.Time
+	// held is the size of the bodies in memory.
+	held atomic.Int64
 }
 
 // NewServer returns a server for a handler.
@@ -49,6 +52,10 @@
 	return &Server{handler: h, conns: make(map[*conn]struct{}), lastDone: time.Now()}
 }
 
+// maxHeld bounds the bodies that are held in memory at the same time; requests
+// beyond it are told to come back.
+const maxHeld = 64 << 20
+
 // acceptPause is the pause after a failed accept, which happens when
 // descriptors run out.
 const acceptPause = 20 * time.Millisecond
