remove what nothing reads

Fields of the settings, store versions and connection states that were decoded and not used; the tests that named them use fields that are read.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -105,7 +105,6 @@
 	// evacuationEnded is when the evacuation of a zone ended: its servers are
 	// cold for a while then.
 	evacuationEnded map[string]time.Duration
-	view            *View
 }
 
 // View is what the catalog knew at one moment. It does not change.
@@ -125,7 +124,7 @@
 func New() *Catalog {
 	return &Catalog{
 		servers: newTable[steering.Server](), vms: newTable[steering.VM](), zones: newTable[struct{}](),
-		evacuationEnded: make(map[string]time.Duration), view: &View{},
+		evacuationEnded: make(map[string]time.Duration),
 	}
 }
 
@@ -227,10 +226,6 @@
 	return changed
 }
 
-// Versions returns the newest store versions of the servers' and the VMs'
-// table.
-func (c *Catalog) Versions() (servers, vms uint64) { return c.servers.version, c.vms.version }
-
 // Build returns a new view.
 func (c *Catalog) Build(now time.Duration) *View {
 	v := &View{
@@ -257,7 +252,6 @@
 		s.ColdUntil = max(s.ColdUntil, c.coldAfterEvacuation(now, &s))
 		v.Servers[s.Service] = append(v.Servers[s.Service], &s)
 	}
-	c.view = v
 	return v
 }
 
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -604,10 +604,3 @@
 		p.assignColdServer(now, g, s)
 	}
 }
-
-// Suspect takes a server out until a probe answered.
-func (p *Picker) Suspect(now time.Duration, id string) {
-	if s := p.servers[id]; s != nil && !s.suspect {
-		s.suspect, s.suspendedUntil = true, now
-	}
-}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -433,7 +433,11 @@
 func TestCapacity(t *testing.T) {
 	p := picker(servers("north", 2, 8), servers("south", 1, 4))
 	require.Equal(t, map[string]float64{"north": 16, "south": 4}, p.Capacity(0, "desk"))
-	p.Suspect(0, "north-1")
+	r := request(0)
+	r.Tried = []string{"north-0"}
+	c := p.Pick(0, r)
+	p.Started(0, r, c)
+	p.Finished(0, r, c, Unreachable, 0)
 	require.Equal(t, map[string]float64{"north": 8, "south": 4}, p.Capacity(0, "desk"))
 	require.Nil(t, p.Capacity(0, "none"))
 }
--- a/core/steering/config.go
+++ b/core/steering/config.go
@@ -124,9 +124,6 @@
 // Routes returns the number of routes.
 func (c *Config) Routes() int { return c.routes }
 
-// HostRoutes returns the routes of a host, longest prefix first.
-func (c *Config) HostRoutes(host string) []*Route { return c.hosts[host] }
-
 // Match returns the route with the longest prefix of path, or nil. The path is
 // compared as sent, without decoding.
 func (c *Config) Match(host, path string) *Route {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -64,8 +64,6 @@
 	Connected time.Duration
 	// Sent is set once any byte may have reached the server.
 	Sent bool
-	// Reset is set if a kept connection was found reset.
-	Reset bool
 }
 
 // Do sends a request and waits for its whole answer. Errors are
@@ -97,10 +95,7 @@
 }
 
 func (p *Pool) connection(ctx context.Context, call *Call, trace *Trace) (*conn, error) {
-	var stats Stats
-	c := p.take(call.Server, call.Idempotent, &stats)
-	trace.Reset = stats.Reset
-	if c != nil {
+	if c := p.take(call.Server, call.Idempotent); c != nil {
 		return c, nil
 	}
 	begin := time.Now()
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -54,15 +54,8 @@
 	reused    bool
 }
 
-// Stats are what take found out on the way.
-type Stats struct {
-	// Reset is set if a kept connection had been reset: the server may have
-	// restarted.
-	Reset bool
-}
-
 // take returns a kept connection that looks usable, or nil.
-func (p *Pool) take(server string, idempotent bool, stats *Stats) *conn {
+func (p *Pool) take(server string, idempotent bool) *conn {
 	limit := maxIdle
 	if !idempotent {
 		limit = onceIdle
@@ -74,12 +67,9 @@
 		}
 		idle := time.Since(c.idleSince)
 		if idle < min(limit, c.idleLimit) {
-			switch c.state() {
-			case usable:
+			if c.usable() {
 				c.reused = true
 				return c
-			case reset:
-				stats.Reset = true
 			}
 			_ = c.Close()
 			continue
@@ -177,42 +167,26 @@
 	}
 }
 
-// connState is what can be seen of an idle connection without waiting.
-type connState int
-
-const (
-	usable connState = iota
-	ended
-	reset
-)
-
-// state looks for an end or for bytes that belong to no request.
-func (c *conn) state() connState {
+// usable looks, without waiting, for an end of the connection or for bytes that
+// belong to no request.
+func (c *conn) usable() bool {
 	if c.br.Buffered() > 0 {
-		return ended
+		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return usable
+		return true
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return ended
+		return false
 	}
-	result := ended
+	silent := false
 	var buf [1]byte
 	err = raw.Read(func(fd uintptr) bool {
 		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch err {
-		case syscall.EAGAIN:
-			result = usable
-		case syscall.ECONNRESET, syscall.ETIMEDOUT:
-			result = reset
-		}
+		silent = err == syscall.EAGAIN
 		return true
 	})
-	if err != nil {
-		return ended
-	}
-	return result
+	return err == nil && silent
 }
