--- a/standin/soak/world.go
+++ b/standin/soak/world.go
@@ -108,6 +108,10 @@
 	ip, path string
 	log      *os.File
 
+	// restarting is held while the process is ended and started again: a second
+	// start would leave the first process behind.
+	restarting sync.Mutex
+
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -251,6 +255,8 @@
 
 // end ends a process with a signal and starts it again.
 func (w *world) end(n *node, s syscall.Signal) {
+	n.restarting.Lock()
+	defer n.restarting.Unlock()
 	done := n.signal(s)
 	select {
 	case <-done:
