--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -160,14 +160,23 @@
 	rank    int
 	heardAt time.Duration
 	heard   bool
+	// counters are the VMs that count each account, by region; they hold for
+	// the roster and the VMs that the digest they were computed with leaves
+	// out.
+	counters     map[counterKey]string
+	countersLeft []string
+	// left are the silent and the unready VMs of the newest digest.
+	left []string
 }
 
+type counterKey struct{ region, account string }
+
 // New returns the machine of a VM that starts now.
 func New(self string, born int64, now time.Duration) *Machine {
 	return &Machine{
 		self: self, born: born, started: now, reports: make(map[uint64]map[string]float64),
 		members: make(map[string]*member), pulses: make(map[string]*pulse), regions: make(map[string]string),
-		asked: make(map[string]time.Duration),
+		asked: make(map[string]time.Duration), counters: make(map[counterKey]string),
 	}
 }
 
@@ -179,6 +188,7 @@
 			cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	m.roster = m.roster[:0]
+	clear(m.counters)
 	present := make(map[string]bool, len(roster))
 	clear(m.regions)
 	for _, vm := range roster {
@@ -354,6 +364,7 @@
 		return
 	}
 	m.digest, m.rank, m.heardAt, m.heard = d, rank, now, true
+	m.left = slices.Concat(d.Silent, d.Unready)
 }
 
 // Digest returns the newest digest and whether it may still be used.
@@ -416,19 +427,36 @@
 // live VMs in an order that depends on the account, so that accounts are spread
 // over them. It is empty if no VM of the region is known.
 func (m *Machine) Counter(now time.Duration, region, account string) string {
-	d, fresh := m.Digest(now)
+	if left := m.leftOut(now); !slices.Equal(left, m.countersLeft) {
+		m.countersLeft = left
+		clear(m.counters)
+	}
+	key := counterKey{region, account}
+	if vm, ok := m.counters[key]; ok {
+		return vm
+	}
 	best, top := "", uint64(0)
 	for _, vm := range m.roster {
-		if m.regions[vm] != region || fresh && d.Settled && (slices.Contains(d.Silent, vm) || slices.Contains(d.Unready, vm)) {
+		if m.regions[vm] != region || slices.Contains(m.countersLeft, vm) {
 			continue
 		}
 		if h := xxhash.Sum64String(vm + "/" + account); best == "" || h > top {
 			best, top = vm, h
 		}
 	}
+	m.counters[key] = best
 	return best
 }
 
+// leftOut returns the VMs that count no account, as far as the digest tells.
+func (m *Machine) leftOut(now time.Duration) []string {
+	d, fresh := m.Digest(now)
+	if !fresh || !d.Settled {
+		return nil
+	}
+	return m.left
+}
+
 // Callable reports whether callers may be sent to a VM, as far as the digest
 // tells; known is false while it does not tell.
 func (m *Machine) Callable(now time.Duration) (callable func(vm string) bool, known bool) {
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -369,3 +370,38 @@
 	require.Equal(t, map[string]map[string]float64{"north": {"desk": 1}, "south": {"desk": 4}}, d.Work)
 	require.Equal(t, map[string]map[string]float64{"north": {"desk": 4}}, d.Pinned)
 }
+
+// Guards against a VM that goes on counting an account, or is asked for it,
+// after the digest says that it is silent, and against accounts that stay away
+// from a VM that came back.
+func TestCounterFollowsDigestAndRoster(t *testing.T) {
+	m := New("a", 1, 0)
+	roster := []Member{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "r"}, {Name: "d", Region: "s"}}
+	m.SetRoster(roster)
+	byAll := m.Counter(0, "r", "account")
+	require.NotEmpty(t, byAll)
+	m.HandleDigest(time.Second, Digest{Hub: "a", Born: 1, Seq: 1, Size: 4, Live: 3, Settled: true, Silent: []string{byAll}})
+	others := m.Counter(time.Second, "r", "account")
+	require.NotEqual(t, byAll, others)
+	m.HandleDigest(2*time.Second, Digest{Hub: "a", Born: 1, Seq: 2, Size: 4, Live: 3, Settled: true, Unready: []string{others}})
+	require.Equal(t, byAll, m.Counter(2*time.Second, "r", "account"))
+	m.HandleDigest(3*time.Second, Digest{Hub: "a", Born: 1, Seq: 3, Size: 4, Live: 3, Settled: true, Silent: []string{byAll}})
+	require.Equal(t, byAll, m.Counter(time.Hour, "r", "account"), "an old digest leaves nobody out")
+	m.SetRoster([]Member{roster[3]})
+	require.Empty(t, m.Counter(time.Hour, "r", "account"))
+	require.Equal(t, "d", m.Counter(time.Hour, "s", "account"))
+}
+
+func BenchmarkCounters(b *testing.B) {
+	m := New("vm0", 1, 0)
+	roster := make([]Member, 0, 300)
+	for i := range 300 {
+		roster = append(roster, Member{Name: "vm" + strconv.Itoa(i), Region: "r" + strconv.Itoa(i%9)})
+	}
+	m.SetRoster(roster)
+	for b.Loop() {
+		for i := range 82 {
+			m.Counter(0, "r1", "account"+strconv.Itoa(i))
+		}
+	}
+}
--- a/entry/forward/dispatch.go
+++ b/entry/forward/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/entry/hop"
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
 
@@ -188,7 +189,7 @@
 // passed on ends the caller's connection, so that a part never looks whole.
 func (h *Handler) respond(c *call, ans *answer) *problem.Rejection {
 	header := ans.resp.Header.Clone()
-	removeHopHeaders(header)
+	hop.Remove(header)
 	header.Del(problem.HeaderRun)
 	copyHeader(c.w.Header(), header)
 	c.w.Header().Set(problem.HeaderRequestID, c.id)
--- a/entry/forward/headers.go
+++ b/entry/forward/headers.go
@@ -3,26 +3,19 @@
 import (
 	"net"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 
+	"github.com/cassiawind/cassiawind/entry/hop"
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
 
-// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // privateHeaders are the system's own or secret and are never passed on.
 var privateHeaders = []string{"Authorization", headerTimeout, headerDeadline, headerAccount, problem.HeaderRun}
 
 // outgoingHeader returns the header for a backend server.
 func outgoingHeader(c *call) http.Header {
 	h := c.r.Header.Clone()
-	removeHopHeaders(h)
+	hop.Remove(h)
 	for _, name := range privateHeaders {
 		h.Del(name)
 	}
@@ -42,19 +35,6 @@
 	return h
 }
 
-func removeHopHeaders(h http.Header) {
-	for _, field := range h["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			if name = textproto.TrimString(name); name != "" {
-				h.Del(name)
-			}
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
--- a/entry/forward/keyed.go
+++ b/entry/forward/keyed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/once"
+	"github.com/cassiawind/cassiawind/entry/hop"
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
 
@@ -67,7 +68,7 @@
 		}
 	}
 	header := ans.resp.Header.Clone()
-	removeHopHeaders(header)
+	hop.Remove(header)
 	return once.Outcome{Kind: once.Answered, Status: ans.resp.StatusCode, Header: header, Body: content}, nil
 }
 
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
 	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/entry/hop"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 	"github.com/cassiawind/cassiawind/entry/upstream"
 	"github.com/cassiawind/cassiawind/platform/adapter"
@@ -366,14 +368,8 @@
 func (r *request) call(choice placement.Choice) *upstream.Call {
 	left := time.Until(r.deadline)
 	header := make(http.Header, len(r.in.Header)+4)
-	for name, values := range r.in.Header {
-		if !upstream.PerConnection(name) {
-			header[name] = values
-		}
-	}
-	for _, line := range r.in.Header["Connection"] {
-		removeListed(header, line)
-	}
+	maps.Copy(header, r.in.Header)
+	hop.Remove(header)
 	account := ""
 	if r.account != nil {
 		account = r.account.Name
@@ -430,16 +426,10 @@
 
 // pass hands an answer on as it is.
 func (r *request) pass(got *upstream.Answer) *ingress.Answer {
-	header := got.Header
-	for _, line := range header["Connection"] {
-		removeListed(header, line)
-	}
-	for name := range header {
-		if upstream.PerConnection(name) {
-			delete(header, name)
-		}
-	}
-	return &ingress.Answer{Status: got.Status, Header: header, Body: got.Body}
+	hop.Remove(got.Header)
+	// The length is written anew for the body that was read.
+	got.Header.Del("Content-Length")
+	return &ingress.Answer{Status: got.Status, Header: got.Header, Body: got.Body}
 }
 
 // giveUp answers a request that no further server gets.
--- /dev/null
+++ b/entry/hop/hop.go
@@ -0,0 +1,33 @@
+// Package hop knows the headers that concern one connection only and must not
+// be passed on by an intermediary (RFC 9110, section 7.6.1).
+package hop
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+var names = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// Remove deletes the headers of one connection from h, those that its
+// Connection header lists included.
+func Remove(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for name := range names {
+		delete(h, name)
+	}
+}
+
+// Header reports whether a header in canonical form concerns one connection
+// only, whatever the Connection header lists.
+func Header(name string) bool { return names[name] }
--- /dev/null
+++ b/entry/hop/hop_test.go
@@ -0,0 +1,23 @@
+package hop_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/entry/hop"
+)
+
+// Guards against passing on a header that concerns one connection, which would
+// let a caller change the framing or the persistence of the next one.
+func TestRemoveDropsHeadersOfOneConnection(t *testing.T) {
+	h := http.Header{
+		"Connection": {"close, X-Private", " Keep-Alive ,, Upgrade"}, "X-Private": {"1"}, "Keep-Alive": {"5"},
+		"Transfer-Encoding": {"chunked"}, "Te": {"trailers"}, "Upgrade": {"h2c"}, "X-Kept": {"1"}, "Content-Type": {"a/b"},
+	}
+	hop.Remove(h)
+	require.Equal(t, http.Header{"X-Kept": {"1"}, "Content-Type": {"a/b"}}, h)
+	require.True(t, hop.Header("Proxy-Connection"))
+	require.False(t, hop.Header("Content-Length"))
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -181,7 +181,7 @@
 	buf.WriteString(" HTTP/1.1\r\nHost: ")
 	buf.WriteString(call.Host)
 	buf.WriteString("\r\n")
-	_ = call.Header.WriteSubset(buf, perConnection)
+	_ = call.Header.WriteSubset(buf, rewritten)
 	if call.HasBody || len(call.Body) > 0 {
 		buf.WriteString("Content-Length: ")
 		buf.WriteString(strconv.Itoa(len(call.Body)))
@@ -190,16 +190,9 @@
 	buf.WriteString("\r\n")
 }
 
-// perConnection are the headers that concern one connection only, or that are
-// written anew.
-var perConnection = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Host": true, "Expect": true,
-}
-
-// PerConnection reports whether a header concerns one connection only.
-func PerConnection(name string) bool { return perConnection[name] }
+// rewritten are the headers that each call writes anew. Headers of one
+// connection are left out by the caller.
+var rewritten = map[string]bool{"Content-Length": true, "Host": true, "Expect": true, "Transfer-Encoding": true, "Connection": true}
 
 // read reads one answer; nil without error means that it belonged to another
 // request and was skipped.
