placement: a choice considers a bounded number of servers

Cause: each choice weighed and ranked all servers of a service in a region: 167 ns a server, 67 us at the 330 that a region has at 300 VMs (18% of a VM's share of processor time against 6% at 30 VMs). Change: a pool remembers the first 16 servers of an object until its servers change and adds a sample of 24 that moves on; all are weighed only if none of these is usable. Marks that are zero are not faded. Pools of up to 24 servers are weighed whole, as before. Ruled out: a ring with a search, which would find the same ranked servers but not one with room elsewhere.

--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -115,7 +115,7 @@
 type group struct {
 	service  *steering.Service
 	servers  []*server
-	byRegion map[string][]*server
+	byRegion map[string]*pool
 	// meanMS is the mean work of a request, for the wait in queues.
 	meanMS float64
 	// ratio is how many times longer than expected requests take.
@@ -152,7 +152,7 @@
 		if service == nil {
 			service = &steering.Service{Name: name}
 		}
-		g := &group{service: service, byRegion: make(map[string][]*server), ratio: 1}
+		g := &group{service: service, byRegion: make(map[string]*pool), ratio: 1}
 		if old := p.groups[name]; old != nil {
 			g.meanMS, g.ratio, g.spill = old.meanMS, old.ratio, old.spill
 		}
@@ -175,9 +175,16 @@
 			s.coldUntil = max(s.coldUntil, t.ColdUntil)
 			servers[t.ID] = s
 			g.servers = append(g.servers, s)
-			g.byRegion[t.Region] = append(g.byRegion[t.Region], s)
 		}
 		slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.told.ID, b.told.ID) })
+		for _, s := range g.servers {
+			in := g.byRegion[s.told.Region]
+			if in == nil {
+				in = &pool{ranked: make(map[uint64][]*server)}
+				g.byRegion[s.told.Region] = in
+			}
+			in.servers = append(in.servers, s)
+		}
 		groups[name] = g
 	}
 	var gone []*steering.Server
@@ -334,23 +341,17 @@
 	if r.Allowed != nil && !r.Allowed(region) {
 		return Choice{}
 	}
-	list := g.byRegion[region]
-	if len(list) == 0 {
+	in := g.byRegion[region]
+	if in == nil {
 		return Choice{}
 	}
-	first, second := p.ranking(list, r.Object)
-	var chosen *server
-	var choice Choice
-	lowest := math.Inf(1)
-	for _, s := range list {
-		if !p.usable(now, s, r) {
-			continue
-		}
-		candidate, cost, ok := p.weigh(now, g, r, s, placeOf(s, first, second))
-		if ok && cost < lowest {
-			lowest, chosen, choice = cost, s, candidate
-		}
+	ranked, sample := in.candidates(r.Object)
+	found := p.cheapest(now, g, r, ranked, 0, bid{cost: math.Inf(1)})
+	found = p.cheapest(now, g, r, sample, len(ranked), found)
+	if found.server == nil && len(ranked)+len(sample) < len(in.servers) {
+		found = p.cheapest(now, g, r, in.servers, len(ranked), found)
 	}
+	chosen, choice := found.server, found.choice
 	if chosen != nil && chosen.isCold(now) {
 		if ok, _ := chosen.cold.Take(now); !ok {
 			return Choice{}
@@ -359,6 +360,31 @@
 	return choice
 }
 
+// bid is the best server so far.
+type bid struct {
+	server *server
+	choice Choice
+	cost   float64
+}
+
+// cheapest returns the cheapest usable server of list if it is cheaper than
+// best. The first of list is at place from in the ranking of the object.
+func (p *Picker) cheapest(now time.Duration, g *group, r *Request, list []*server, from int, best bid) bid {
+	for i, s := range list {
+		if !p.usable(now, s, r) {
+			continue
+		}
+		at := otherPlace
+		if r.Object != 0 && from+i < int(otherPlace) {
+			at = place(from + i)
+		}
+		if choice, cost, ok := p.weigh(now, g, r, s, at); ok && cost < best.cost {
+			best = bid{s, choice, cost}
+		}
+	}
+	return best
+}
+
 // place is where a server stands in the ranking of an object.
 type place int
 
@@ -368,17 +394,6 @@
 	otherPlace
 )
 
-func placeOf(s, first, second *server) place {
-	switch s {
-	case first:
-		return firstPlace
-	case second:
-		return secondPlace
-	default:
-		return otherPlace
-	}
-}
-
 // weigh returns what a request expects of a server and the cost of sending it
 // there; ok is false if the server has no room for it.
 func (p *Picker) weigh(now time.Duration, g *group, r *Request, s *server, at place) (c Choice, cost float64, ok bool) {
@@ -400,7 +415,7 @@
 	if at == secondPlace && settled && !warm {
 		work, extra = (class.cold+class.warm)/2, extra/2
 	}
-	wait := p.waitMS(now, g, s)
+	wait := p.waitMS(g, s, load*float64(s.told.Slots))
 	expected := p.rtt(s.told.Region) + wait + work*s.slow
 	cost = expected + queueCost*min(load, 1)*min(load, 1)*g.meanMS + extraWorkCost*extra +
 		s.failing*failureCostMS + s.shedding*shedCostMS
@@ -415,8 +430,8 @@
 }
 
 // waitMS is the expected wait in the queue of a server.
-func (p *Picker) waitMS(now time.Duration, g *group, s *server) float64 {
-	over := s.load(now) + 1 - float64(s.told.Slots)
+func (p *Picker) waitMS(g *group, s *server, load float64) float64 {
+	over := load + 1 - float64(s.told.Slots)
 	if over <= 0 {
 		return 0
 	}
@@ -434,24 +449,6 @@
 	return true
 }
 
-// ranking returns the first two servers for an object by rendezvous hashing.
-func (p *Picker) ranking(list []*server, object uint64) (first, second *server) {
-	if object == 0 {
-		return nil, nil
-	}
-	var top, next uint64
-	for _, s := range list {
-		switch h := mix(s.hash ^ object); {
-		case first == nil || h > top:
-			second, next = first, top
-			first, top = s, h
-		case second == nil || h > next:
-			second, next = s, h
-		}
-	}
-	return first, second
-}
-
 // Started notes that a request was sent to the chosen server.
 func (p *Picker) Started(now time.Duration, r *Request, c Choice) {
 	if s := p.servers[c.Server.ID]; s != nil {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -453,3 +453,21 @@
 	w.replay(133, 1, 15*time.Second)
 	require.Less(t, w.turned+w.late, 133*15/20)
 }
+
+// BenchmarkPick is the choice of a server at the size of a region of the grown
+// deployments and of one ten times larger.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{40, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := picker(servers("north", n, 8))
+			now := time.Duration(0)
+			for i := 0; b.Loop(); i++ {
+				now += time.Millisecond
+				r := request(HashObject("lookup", fmt.Sprint(i%100)))
+				c := p.Pick(now, r)
+				p.Started(now, r, c)
+				p.Finished(now, r, c, Succeeded, 100*time.Millisecond)
+			}
+		})
+	}
+}
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -77,6 +77,10 @@
 	if now <= s.marksAt {
 		return
 	}
+	if s.failing == 0 && s.shedding == 0 && s.slow == 1 {
+		s.marksAt = now
+		return
+	}
 	f := math.Exp2(-float64(now-s.marksAt) / float64(troubleHalfLife))
 	s.marksAt = now
 	s.failing *= f
@@ -87,7 +91,7 @@
 // load is the estimated number of requests that the server runs and queues.
 func (s *server) load(now time.Duration) float64 {
 	others := s.others
-	if now > s.othersAt {
+	if others > 0 && now > s.othersAt {
 		others *= math.Exp2(-float64(now-s.othersAt) / float64(othersHalfLife))
 	}
 	return others + float64(s.inflight)
