measure/steersim: the gateway's decisions against alternatives in virtual time

What the predecessor counted is used only where all demand fits into the rate, so that nothing is taken from other regions; - a picker forgot objects of a server in the order of a map, at random. Ruled out: a fuller first bucket for a successor, which would add up to more than the burst over the fleet.

--- a/entry/gateway/demand.go
+++ b/core/demand/demand.go
@@ -1,18 +1,21 @@
-package gateway
+// Package demand measures what callers ask for, so that VMs can tell each other.
+package demand
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/exchange"
 )
 
-// demandWeight is the weight of the newest interval in the measured demand; a
+// newestWeight is the weight of the newest interval in the measured demand; a
 // change shows within three intervals.
-const demandWeight = 0.5
+const newestWeight = 0.5
 
-// demandMeter measures what callers ask for.
-type demandMeter struct {
+// Meter measures the requests of client accounts and the work of services. It is
+// not safe for concurrent use.
+type Meter struct {
 	last     time.Duration
 	accounts average
 	free     average
@@ -27,18 +30,20 @@
 	return average{make(map[string]float64), make(map[string]float64)}
 }
 
-func newDemandMeter() *demandMeter {
-	return &demandMeter{accounts: newAverage(), free: newAverage(), pinned: make(map[string]*average)}
+// New returns a meter without measurements.
+func New() *Meter {
+	return &Meter{accounts: newAverage(), free: newAverage(), pinned: make(map[string]*average)}
 }
 
-// add counts requests of an account that this VM counts for its region.
-func (d *demandMeter) add(account string, requests int) {
+// Add counts requests of an account that this VM counts for its region.
+func (d *Meter) Add(account string, requests int) {
 	d.accounts.counted[account] += float64(requests)
 }
 
-// work counts a request with an expected work at a service. Home is the only
+// Work counts a request with an expected work at a service, in milliseconds of
+// a slot. Home is the only
 // region that may serve it, empty if there are several.
-func (d *demandMeter) work(service, home string, workMS float64) {
+func (d *Meter) Work(service, home string, workMS float64) {
 	if home == "" {
 		d.free.counted[service] += workMS
 		return
@@ -52,8 +57,8 @@
 	a.counted[service] += workMS
 }
 
-// roll ends an interval.
-func (d *demandMeter) roll(now time.Duration) {
+// Roll ends an interval.
+func (d *Meter) Roll(now time.Duration) {
 	seconds := (now - d.last).Seconds()
 	if seconds <= 0 {
 		return
@@ -69,8 +74,9 @@
 
 func (a *average) roll(scale float64) { smooth(a.rates, a.counted, scale) }
 
-// report returns copies of what was measured.
-func (d *demandMeter) report() (accounts map[string]float64, work exchange.Work) {
+// Report returns copies of what was measured: requests per second by account,
+// and busy slots by service.
+func (d *Meter) Report() (accounts map[string]float64, work exchange.Work) {
 	work = exchange.Work{Free: maps.Clone(d.free.rates), Pinned: make(map[string]map[string]float64, len(d.pinned))}
 	for region, a := range d.pinned {
 		work.Pinned[region] = maps.Clone(a.rates)
@@ -81,6 +87,9 @@
 // negligible demand is not reported.
 const negligible = 0.01
 
+// smooth moves averages towards what was counted; scale turns counts into the
+// unit of the averages. A change that is not noise counts in full: when callers
+// move, both regions have to tell it at once.
 func smooth(average, counted map[string]float64, scale float64) {
 	for k, v := range counted {
 		if _, ok := average[k]; !ok && v > 0 {
@@ -88,7 +97,12 @@
 		}
 	}
 	for k, old := range average {
-		v := old + (counted[k]*scale-old)*demandWeight
+		expected := old / scale
+		weight := newestWeight
+		if math.Abs(counted[k]-expected) > noise*math.Sqrt(expected) {
+			weight = 1
+		}
+		v := old + (counted[k]*scale-old)*weight
 		if v < negligible {
 			delete(average, k)
 		} else {
@@ -97,3 +111,7 @@
 	}
 	clear(counted)
 }
+
+// noise is how many standard deviations of a count are taken for chance: of
+// requests that come independently, one in 370 intervals exceeds three.
+const noise = 3
--- /dev/null
+++ b/core/demand/demand_test.go
@@ -0,0 +1,46 @@
+package demand
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against demand that is told for ever after callers left, and against
+// a change that takes longer than three intervals to show.
+func TestDemandFollowsCallers(t *testing.T) {
+	m := New()
+	now := time.Duration(0)
+	interval := func(requests int) map[string]float64 {
+		m.Add("a", requests)
+		now += 500 * time.Millisecond
+		m.Roll(now)
+		accounts, _ := m.Report()
+		return accounts
+	}
+	require.InDelta(t, 20, interval(10)["a"], 0.01, "the first measurement counts in full")
+	interval(50)
+	interval(50)
+	require.InDelta(t, 100, interval(50)["a"], 15)
+	for range 20 {
+		interval(0)
+	}
+	require.NotContains(t, interval(0), "a")
+}
+
+// Guards against work of one region that is taken for work that may move.
+func TestWorkIsInBusySlots(t *testing.T) {
+	m := New()
+	for range 100 {
+		m.Work("desk", "", 50)
+		m.Work("desk", "north", 10)
+	}
+	m.Roll(time.Second)
+	_, work := m.Report()
+	require.InDelta(t, 5, work.Free["desk"], 0.01)
+	require.InDelta(t, 1, work.Pinned["north"]["desk"], 0.01)
+	m.Roll(time.Second)
+	_, again := m.Report()
+	require.Equal(t, work, again, "an interval without length changes nothing")
+}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -165,10 +165,20 @@
 	// out.
 	counters     map[counterKey]string
 	countersLeft []string
+	// orphans is what VMs counted that fell silent.
+	orphans orphans
 	// left are the silent and the unready VMs of the newest digest.
 	left []string
 }
 
+// orphans is the demand that VMs of one region counted before they fell silent,
+// until their successors have measured it.
+type orphans struct {
+	region string
+	demand map[string]float64
+	until  time.Duration
+}
+
 type counterKey struct{ region, account string }
 
 // New returns the machine of a VM that starts now.
@@ -363,6 +373,7 @@
 	if m.heard && d.Hub != m.digest.Hub && rank > m.rank && now-m.heardAt < hubTimeout(len(m.roster)) {
 		return
 	}
+	m.noteOrphans(now, d)
 	m.digest, m.rank, m.heardAt, m.heard = d, rank, now, true
 	m.left = slices.Concat(d.Silent, d.Unready)
 }
@@ -383,7 +394,55 @@
 	// Silent VMs keep an equal part each, which is what they use while they do
 	// not reach the one that counts.
 	free := float64(d.Live) / float64(max(1, d.Size))
-	return free * ratelimit.Part(rate*free, m.reports[d.Ack][account], d.Demand[account], m.liveRegions(d))
+	own, sum := m.ownDemand(now, d, account, rate*free)
+	return free * ratelimit.Part(rate*free, own, sum, m.liveRegions(d))
+}
+
+// noteOrphans remembers what VMs counted that a new digest calls silent. If VMs
+// of several regions fell silent at once, it is not known who counted what.
+func (m *Machine) noteOrphans(now time.Duration, next Digest) {
+	last, fresh := m.Digest(now)
+	if !fresh || !last.Settled || !next.Settled {
+		return
+	}
+	region := ""
+	for _, vm := range next.Silent {
+		if slices.Contains(last.Silent, vm) {
+			continue
+		}
+		if region != "" && region != m.regions[vm] {
+			return
+		}
+		region = m.regions[vm]
+	}
+	if region == "" {
+		return
+	}
+	m.orphans = orphans{region, make(map[string]float64), now + orphanIntervals*Interval(len(m.roster))}
+	for account, demand := range last.Demand {
+		if lost := demand - next.Demand[account]; lost > 0 {
+			m.orphans.demand[account] = lost
+		}
+	}
+}
+
+// orphanIntervals pass until a successor's own measurement has come back in a
+// digest: one that is cut short, a whole one and the way to the hub and back.
+const orphanIntervals = 4
+
+// ownDemand returns the demand of an account that this VM is to use, and the sum
+// over the fleet that goes with it. A VM that takes over the counting of an
+// account has not measured it yet. What its predecessor counted is used only if
+// the whole demand fits into the rate: then it takes nothing from others.
+func (m *Machine) ownDemand(now time.Duration, d Digest, account string, rate float64) (own, sum float64) {
+	own, sum = m.reports[d.Ack][account], d.Demand[account]
+	if now >= m.orphans.until || m.orphans.region != m.regions[m.self] {
+		return own, sum
+	}
+	if lost := m.orphans.demand[account] - own; lost > 0 && ratelimit.Fits(rate, sum+lost) {
+		return own + lost, sum + lost
+	}
+	return own, sum
 }
 
 // DigestAge returns how old the newest digest is, or how long this VM has had
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -405,3 +405,38 @@
 		}
 	}
 }
+
+// Guards against rejections within the rate after the VM that counted an
+// account failed: its successor has measured nothing and gets a part that is
+// too small until a digest confirms its first whole measurement.
+func TestSuccessorGetsThePartOfAFailedVM(t *testing.T) {
+	roster := []Member{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "s"}}
+	digest := func(seq uint64, demand float64, silent ...string) Digest {
+		return Digest{
+			Hub: "c", Born: 1, Seq: seq, Size: 3, Live: 3 - len(silent), Settled: true, Silent: silent,
+			Demand: map[string]float64{"account": demand},
+		}
+	}
+	fail := func(before, after float64) *Machine {
+		m := New("a", 1, 0)
+		m.SetRoster(roster)
+		m.HandleDigest(time.Second, digest(1, before))
+		m.HandleDigest(2*time.Second, digest(2, after, "b"))
+		return m
+	}
+	const rate = 100
+	m := fail(50, 20)
+	require.GreaterOrEqual(t, m.Part(2*time.Second, "account", rate)*rate, 30.0, "what the failed VM counted")
+	require.Less(t, m.Part(2*time.Second+orphanIntervals*Interval(3), "account", rate)*rate, 30.0, "not for ever")
+	full := fail(200, 150)
+	plain := New("a", 1, 0)
+	plain.SetRoster(roster)
+	plain.HandleDigest(2*time.Second, digest(2, 150, "b"))
+	require.Equal(t, plain.Part(2*time.Second, "account", rate), full.Part(2*time.Second, "account", rate),
+		"where demand exceeds the rate, nothing is taken from other regions")
+	other := New("c", 1, 0)
+	other.SetRoster(roster)
+	other.HandleDigest(time.Second, digest(1, 50))
+	other.HandleDigest(2*time.Second, digest(2, 20, "b"))
+	require.Less(t, other.Part(2*time.Second, "account", rate)*rate, 100*2.0/3, "the other region did not count it")
+}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -116,6 +117,8 @@
 	service  *steering.Service
 	servers  []*server
 	byRegion map[string]*pool
+	// regions are the keys of byRegion in order.
+	regions []string
 	// meanMS is the mean work of a request, for the wait in queues.
 	meanMS float64
 	// ratio is how many times longer than expected requests take.
@@ -185,6 +188,7 @@
 			}
 			in.servers = append(in.servers, s)
 		}
+		g.regions = slices.Sorted(maps.Keys(g.byRegion))
 		groups[name] = g
 	}
 	var gone []*steering.Server
@@ -302,7 +306,7 @@
 // that the flow did not choose.
 func (p *Picker) elsewhere(now time.Duration, g *group, r *Request) Choice {
 	var other Choice
-	for region := range g.byRegion {
+	for _, region := range g.regions {
 		if region == r.Region {
 			continue
 		}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -471,3 +471,19 @@
 		})
 	}
 }
+
+// Guards against forgetting an object that was asked for a moment ago while
+// older ones are remembered, so that its next request counts as cold.
+func TestOldestObjectIsForgotten(t *testing.T) {
+	s := newServer(servers("north", 1, 8)[0])
+	for i := range uint64(3 * warmObjects) {
+		now := time.Duration(i) * time.Millisecond
+		s.touched(now, i+1)
+		s.touched(now, 1)
+		require.True(t, s.isWarm(now, 1))
+		require.LessOrEqual(t, len(s.warm), warmObjects)
+	}
+	for i := range uint64(warmObjects - 1) {
+		require.True(t, s.isWarm(0, 3*warmObjects-i))
+	}
+}
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -122,16 +122,25 @@
 	if s.warm == nil {
 		s.warm = make(map[uint64]time.Duration)
 	}
-	if len(s.warm) >= warmObjects {
-		for o, at := range s.warm {
-			if now-at >= warmFor || len(s.warm) >= warmObjects {
-				delete(s.warm, o)
-			}
-		}
+	if _, known := s.warm[object]; !known && len(s.warm) >= warmObjects {
+		s.forgetOldest()
 	}
 	s.warm[object] = now
 }
 
+// forgetOldest drops the object that was asked for longest ago, as the server
+// does.
+func (s *server) forgetOldest() {
+	var oldest uint64
+	first := true
+	for object, at := range s.warm {
+		if first || at < s.warm[oldest] || at == s.warm[oldest] && object < oldest {
+			oldest, first = object, false
+		}
+	}
+	delete(s.warm, oldest)
+}
+
 func (s *server) isCold(now time.Duration) bool { return now < s.coldUntil }
 
 func hashString(text string) uint64 {
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -63,13 +63,17 @@
 	switch {
 	case rate <= 0 || sum <= 0:
 		return 1 / n
-	case sum <= rate*(1-equalPart):
+	case Fits(rate, sum):
 		return (demand + (rate-sum)/n) / rate
 	default:
 		return (1-equalPart)*demand/sum + equalPart/n
 	}
 }
 
+// Fits reports whether a demand is met in full by a rate, both in requests per
+// second.
+func Fits(rate, demand float64) bool { return demand <= rate*(1-equalPart) }
+
 // equalPart of a rate goes to all holders alike also when demand exceeds it, so
 // that callers that move are not all rejected until the next division.
 const equalPart = 0.1
--- a/core/regionflow/regionflow.go
+++ b/core/regionflow/regionflow.go
@@ -30,6 +30,18 @@
 	Capacity float64
 }
 
+// Loads returns the loads of a service in the given regions. Demand is what may
+// move between regions, pinned what only one region may serve, both in busy
+// slots by region and service; capacity is in slots by region. What only one
+// region may serve goes before what may move.
+func Loads(service string, regions []string, demand, pinned map[string]map[string]float64, capacity map[string]float64) []Load {
+	loads := make([]Load, 0, len(regions))
+	for _, r := range regions {
+		loads = append(loads, Load{Region: r, Demand: demand[r][service], Capacity: max(0, capacity[r]-pinned[r][service])})
+	}
+	return loads
+}
+
 // Target returns the shares of the requests of region own that each region is
 // to serve. Loads are sorted by region name, so that all VMs agree.
 func Target(own string, loads []Load) map[string]float64 {
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/demand"
 	"github.com/cassiawind/cassiawind/core/exchange"
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/ratelimit"
@@ -97,7 +99,7 @@
 	// demanded are the services whose demand was measured.
 	demanded map[string]bool
 	splits   map[string]*placement.Split
-	demand   *demandMeter
+	demand   *demand.Meter
 	lines    *eventlog.Limiter
 }
 
@@ -120,7 +122,7 @@
 		wallets: make(map[string]*ratelimit.Wallet), counters: make(map[string]string), grants: make(map[uint64]chan grant),
 		budgets: make(map[string]*retrybudget.Budget),
 		flows:   make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
-		demand: newDemandMeter(), lines: eventlog.NewLimiter(), regions: regionsOf(settings), demanded: make(map[string]bool),
+		demand: demand.New(), lines: eventlog.NewLimiter(), regions: regionsOf(settings), demanded: make(map[string]bool),
 	}
 	n.bounds.Store(&settings.Bounds)
 	n.view.Store(&catalog.View{})
@@ -330,16 +332,9 @@
 		if !fresh && n.demanded[service] {
 			continue
 		}
-		loads := make([]regionflow.Load, 0, len(n.regions))
-		capacity := n.picker.Capacity(now, service)
-		for _, r := range n.regions {
-			demand := digest.Work[r][service]
-			if demand > 0 {
-				n.demanded[service] = true
-			}
-			// What only this region may serve goes before what may move.
-			left := max(0, capacity[r]-digest.Pinned[r][service])
-			loads = append(loads, regionflow.Load{Region: r, Demand: demand, Capacity: left})
+		loads := regionflow.Loads(service, n.regions, digest.Work, digest.Pinned, n.picker.Capacity(now, service))
+		if slices.ContainsFunc(loads, func(l regionflow.Load) bool { return l.Demand > 0 }) {
+			n.demanded[service] = true
 		}
 		if !n.demanded[service] {
 			loads = regionflow.Assume(loads, view.Config.PinnedShares())
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -81,8 +81,8 @@
 		now := n.now()
 		view := n.view.Load()
 		interval := exchange.Interval(n.peers.Size())
-		n.demand.roll(now)
-		accounts, work := n.demand.report()
+		n.demand.Roll(now)
+		accounts, work := n.demand.Report()
 		report := n.peers.Report(n.settings.Region, accounts, work, !n.stopping.Load() && view.Ready)
 		out := make(map[string]datagram)
 		for _, hub := range n.peers.Hubs(now) {
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -205,7 +205,7 @@
 	if r.route.Affinity && r.caller.Object != "" {
 		r.place.Object = placement.HashObject(r.route.Name, r.caller.Object)
 	}
-	n.demand.work(service, steering.OnlyHome(r.route, r.account, n.regions), n.picker.WorkMS(&r.place))
+	n.demand.Work(service, steering.OnlyHome(r.route, r.account, n.regions), n.picker.WorkMS(&r.place))
 	r.place.Region = n.regionOf(r, service)
 }
 
--- a/entry/gateway/tokens.go
+++ b/entry/gateway/tokens.go
@@ -51,7 +51,7 @@
 	target := n.view.Load().VMs[counter]
 	if counter == n.settings.VM || target == nil {
 		defer n.mu.Unlock()
-		n.demand.add(a.Name, wallet.Used())
+		n.demand.Add(a.Name, wallet.Used())
 		return n.bucketOf(a, counter == n.settings.VM).Take(now)
 	}
 	n.asked++
@@ -134,7 +134,7 @@
 		return datagram{}, ""
 	}
 	n.peers.HandleAsk(now, t.From)
-	n.demand.add(t.Account, t.Used)
+	n.demand.Add(t.Account, t.Used)
 	tokens, wait := n.bucketOf(a, true).Grant(now, t.Want)
 	g.Tokens, g.WaitMS = tokens, wait.Milliseconds()
 	return datagram{Grant: &g}, t.From
--- a/measure/cmd/measure/main.go
+++ b/measure/cmd/measure/main.go
@@ -14,6 +14,7 @@
 	"github.com/cassiawind/cassiawind/measure/configsim"
 	"github.com/cassiawind/cassiawind/measure/fleetsim"
 	"github.com/cassiawind/cassiawind/measure/quotasim"
+	"github.com/cassiawind/cassiawind/measure/steersim"
 	"github.com/cassiawind/cassiawind/measure/trafficsim"
 )
 
@@ -27,6 +28,7 @@
 		fleetsim.Experiments(),
 		bookingsim.Experiments(),
 		configsim.Experiments(),
+		steersim.Experiments(),
 	)
 }
 
