gateway: log options changed by reload, gauges of beliefs; status and explain on the platform's store

Cause: the sample of successes and the bound on lines were constants, late answers had a line only if they were in the sample, metrics told nothing of shares, headroom, rates granted and the age of beliefs, and the operators' commands did not know the platform's store. Request lines tell the age of the operator's rows. Ruled out: a status address of its own for the gateway; what changes is at the metrics address, what lasts is in the store.

--- a/cassiawind/gateway.go
+++ b/cassiawind/gateway.go
@@ -21,7 +21,8 @@
 func gatewayCommand() command {
 	sub := newSubcommand("gateway", "steers requests on the users' platform until SIGTERM or SIGINT",
 		adapter.SettingsVariable+"=/etc/cassiawind/local.json cassiawind gateway")
-	var path string
+	var path, options string
+	sub.String(&options, "", "options", "JSON file with the project's own options, read again at SIGHUP")
 	sub.String(&path, "", "settings", "settings file of the platform; by default "+adapter.SettingsVariable)
 	return command{sub, func() error {
 		if path == "" {
@@ -34,15 +35,27 @@
 		if err != nil {
 			return errors.Wrap(ErrUsage, err.Error())
 		}
-		return runGateway(path, settings)
+		return runGateway(path, options, settings)
 	}}
 }
 
-func runGateway(path string, settings adapter.Settings) error {
+func loadOptions(path string) (gateway.Options, error) {
+	if path == "" {
+		return gateway.DefaultOptions(), nil
+	}
+	return gateway.LoadOptions(path)
+}
+
+func runGateway(path, optionsPath string, settings adapter.Settings) error {
+	options, err := loadOptions(optionsPath)
+	if err != nil {
+		return errors.Wrap(ErrUsage, err.Error())
+	}
 	debug.SetGCPercent(gatewayGCPercent)
 	log, flush := eventlog.New(os.Stdout)
 	defer flush()
 	node := gateway.New(settings, log)
+	node.SetOptions(options)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	stop := make(chan struct{})
@@ -58,6 +71,12 @@
 				continue
 			}
 			node.Reload(changed)
+			options, err := loadOptions(optionsPath)
+			if err != nil {
+				log.Info("changed options not used", "error", err.Error())
+				continue
+			}
+			node.SetOptions(options)
 		}
 	}()
 	return node.Run(context.Background(), stop)
--- a/cassiawind/query.go
+++ b/cassiawind/query.go
@@ -66,17 +66,23 @@
 
 func explainCommand() command {
 	sub := newSubcommand("explain", "tells how a request would be decided, sending nothing",
-		"cassiawind explain --operator 127.1.0.1:8082 --client 10.1.2.3 --key-file key.txt --method GET --path /lots/7")
-	var operator, client, keyFile, path string
+		"cassiawind explain --operator 127.1.0.1:8082 --client 10.1.2.3 --key-file key.txt --method GET --path /lots/7\n"+
+			"  cassiawind explain --platform /etc/cassiawind/local.json --host shop.example --path /lots/7 --key-file key.txt")
+	var operator, client, keyFile, path, platformFile, host string
 	method := http.MethodGet
 	sub.String(&operator, "", "operator", "operator address of an entry VM, ip:port")
 	sub.String(&client, "", "client", "client address")
-	sub.String(&keyFile, "", "key-file", "file with the key; only its SHA-256 is sent")
+	sub.String(&platformFile, "", "platform", "settings file of the users' platform; decides by what its store holds")
+	sub.String(&host, "", "host", "host of the request, with --platform")
+	sub.String(&keyFile, "", "key-file", "file with the key; at most its SHA-256 is sent")
 	sub.String(&method, "", "method", "HTTP method")
 	sub.String(&path, "", "path", "path of the request")
 	return command{sub, func() error {
+		if platformFile != "" && path != "" {
+			return storeExplain(platformFile, host, path, keyFile)
+		}
 		if operator == "" || path == "" {
-			return errors.Wrap(ErrUsage, "--operator and --path are needed")
+			return errors.Wrap(ErrUsage, "--path and --operator or --platform are needed")
 		}
 		query := url.Values{"client": {client}, "method": {method}, "path": {path}}
 		if keyFile != "" {
--- a/cassiawind/status.go
+++ b/cassiawind/status.go
@@ -18,14 +18,18 @@
 
 func statusCommand() command {
 	sub := newSubcommand("status", "shows the fleet, versions, drains, limits, headroom and client accounts",
-		"cassiawind status --operator 127.1.0.1:8082")
-	var address string
+		"cassiawind status --operator 127.1.0.1:8082\n  cassiawind status --platform /etc/cassiawind/local.json")
+	var address, platformFile string
+	sub.String(&platformFile, "", "platform", "settings file of the users' platform; shows what its store holds")
 	var asJSON bool
 	sub.String(&address, "", "operator", "operator address of an entry VM, ip:port")
 	sub.Bool(&asJSON, "", "json", "prints the answer as JSON")
 	return command{sub, func() error {
+		if platformFile != "" {
+			return storeStatus(platformFile)
+		}
 		if address == "" {
-			return errors.Wrap(ErrUsage, "--operator is missing")
+			return errors.Wrap(ErrUsage, "--operator or --platform is missing")
 		}
 		body, err := get(address, "/status", nil)
 		if err != nil {
--- /dev/null
+++ b/cassiawind/storeview.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/entry/storeview"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+// readStore reads the store that a settings file of the platform names.
+func readStore(settingsPath string) (*storeview.View, error) {
+	settings, err := adapter.LoadSettings(settingsPath)
+	if err != nil {
+		return nil, err
+	}
+	store, err := adapter.Dial("http://" + settings.StoreAddress)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	return storeview.Read(ctx, store, settings.RegionOf)
+}
+
+// storeStatus prints what the store holds.
+func storeStatus(settingsPath string) error {
+	v, err := readStore(settingsPath)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	if v.Config == nil {
+		fmt.Fprintln(w, storeview.ErrNoConfig)
+	} else {
+		fmt.Fprintf(w, "configuration %d\t%d routes\t%d services\t%d client accounts\n",
+			v.Config.Version, v.Config.Routes(), len(v.Config.Services), len(v.Config.Accounts))
+	}
+	if len(v.Evacuated) > 0 {
+		fmt.Fprintf(w, "evacuated: %s\n", strings.Join(v.Evacuated, ", "))
+	}
+	fmt.Fprintln(w, "\nVM\tREGION\tFAILURE DOMAIN\tLEAVING\tFOR CALLERS")
+	for _, vm := range v.VMs {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\n", vm.Name, vm.Region, vm.Zone, vm.Leaving, vm.Front)
+	}
+	printGroups(w, v.Groups())
+	for _, row := range v.Unreadable {
+		fmt.Fprintln(w, "unreadable:", row)
+	}
+	return w.Flush()
+}
+
+func printGroups(w *tabwriter.Writer, groups []storeview.Group) {
+	fmt.Fprintln(w, "\nSERVICE\tREGION\tREADY\tCOLD\tDRAINING\tEVACUATED\tUSABLE SLOTS")
+	for _, g := range groups {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", g.Service, g.Region, g.Ready, g.Cold, g.Draining, g.Evacuated, g.Slots)
+	}
+}
+
+// storeExplain prints how a request would be decided by what the store holds.
+func storeExplain(settingsPath, host, path, keyFile string) error {
+	v, err := readStore(settingsPath)
+	if err != nil {
+		return err
+	}
+	key := ""
+	if keyFile != "" {
+		raw, err := os.ReadFile(keyFile)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		key = strings.TrimSpace(string(raw))
+	}
+	e, err := v.Explain(host, path, key)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	r := e.Route
+	fmt.Fprintf(w, "route %s\tprefix %s\trank %d\ttime-out %s\tobjective %s\tattempts %d\tmay be repeated %v\taffinity %v\n",
+		r.Name, r.Prefix, e.Rank, r.Timeout, r.Objective, r.MaxAttempts, r.Idempotent, r.Affinity)
+	if e.Account != nil {
+		fmt.Fprintf(w, "client account %s\t%.1f requests/s\tburst %.0f\n", e.Account.Name, e.Account.Rate, e.Account.Burst)
+	}
+	for _, p := range r.Parts {
+		fmt.Fprintf(w, "service %s\tweight %.1f\n", p.Service, p.Weight)
+	}
+	fmt.Fprintf(w, "regions that may serve it: %s\n", strings.Join(e.Allowed, ", "))
+	printGroups(w, e.Groups)
+	return w.Flush()
+}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -274,6 +274,15 @@
 	return Pulse{}, false
 }
 
+// SourceHeard returns when a sound hub was heard last.
+func (m *Machine) SourceHeard(now time.Duration) (time.Duration, bool) {
+	source, ok := m.Source(now)
+	if !ok {
+		return 0, false
+	}
+	return m.pulses[source.Hub].heard, true
+}
+
 // Reads reports whether this VM must follow the store itself.
 func (m *Machine) Reads(now time.Duration) bool {
 	if m.IsHub(now) {
--- a/core/placement/split.go
+++ b/core/placement/split.go
@@ -65,6 +65,3 @@
 	}
 	return unit(mix(object + 1))
 }
-
-// Sampled reports whether an id belongs to the one in n that is logged.
-func Sampled(id string, n uint64) bool { return hashString(id)%n == 0 }
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -35,6 +35,9 @@
 // server.
 func (b *Bucket) Return() { b.tokens = min(b.burst, b.tokens+1) }
 
+// Rate returns the rate in force, in requests per second.
+func (b *Bucket) Rate() float64 { return b.rate }
+
 // Tokens returns the number of tokens at now.
 func (b *Bucket) Tokens(now time.Duration) float64 {
 	b.refill(now)
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -48,6 +48,15 @@
 
 // Take counts a repeat if the budget allows it; vms is the size of the fleet.
 func (b *Budget) Take(now time.Duration, vms int) bool {
+	if b.Left(now, vms) < 1 {
+		return false
+	}
+	b.at(now).repeats++
+	return true
+}
+
+// Left returns how many repeats the budget allows now.
+func (b *Budget) Left(now time.Duration, vms int) float64 {
 	var requests, repeats float64
 	current := int64(now / bucketSpan)
 	for _, k := range b.buckets {
@@ -57,11 +66,7 @@
 		}
 	}
 	allowed := safety * (b.limits.Ratio*requests + b.limits.Slack/float64(max(1, vms)))
-	if repeats+1 > allowed {
-		return false
-	}
-	b.at(now).repeats++
-	return true
+	return allowed - repeats
 }
 
 func (b *Budget) at(now time.Duration) *bucket {
--- a/entry/eventlog/limiter_test.go
+++ b/entry/eventlog/limiter_test.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,8 +23,22 @@
 			}
 		}
 		ok, _ := l.Allow(now, "quiet")
-		require.Equal(t, ms%1000 < linesPerSecond, ok)
+		require.Equal(t, ms%1000 < DefaultLinesPerSecond, ok)
 	}
-	require.Equal(t, 3*linesPerSecond, written)
-	require.Equal(t, 2*(5000-linesPerSecond), told)
+	require.Equal(t, 3*DefaultLinesPerSecond, written)
+	require.Equal(t, 2*(5000-DefaultLinesPerSecond), told)
+}
+
+// Guards against a sample that differs between processes, is empty or holds
+// everything.
+func TestSampled(t *testing.T) {
+	hits := 0
+	for i := range 6400 {
+		if Sampled(strconv.Itoa(i), 64) {
+			hits++
+		}
+		require.True(t, Sampled(strconv.Itoa(i), 1))
+		require.False(t, Sampled(strconv.Itoa(i), 0))
+	}
+	require.InDelta(t, 100, hits, 40)
 }
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -32,6 +32,9 @@
 const (
 	// tick is the interval of the work that waits for nothing else.
 	tick = 250 * time.Millisecond
+	// gaugeInterval is the interval of the gauges: well below that at which
+	// metrics are collected.
+	gaugeInterval = 2 * time.Second
 	// unreadHeaderTimeout bounds the head of a call to the directory.
 	unreadHeaderTimeout = 2 * time.Second
 	// serviceIdleTimeout is how long connections of the directory's callers and
@@ -44,6 +47,7 @@
 	// settings do not change, apart from the bounds.
 	settings adapter.Settings
 	bounds   atomic.Pointer[adapter.Bounds]
+	options  atomic.Pointer[Options]
 	log      logr.Logger
 	metrics  *telemetry.Metrics
 	start    time.Time
@@ -125,6 +129,8 @@
 		demand: demand.New(), lines: eventlog.NewLimiter(), regions: regionsOf(settings), demanded: make(map[string]bool),
 	}
 	n.bounds.Store(&settings.Bounds)
+	options := DefaultOptions()
+	n.options.Store(&options)
 	n.view.Store(&catalog.View{})
 	n.storeHeard.Store(math.MinInt64 / 2)
 	n.resetFeeds()
@@ -265,6 +271,7 @@
 func (n *Node) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	gauged := -gaugeInterval
 	for {
 		select {
 		case <-ctx.Done():
@@ -284,6 +291,10 @@
 		if view := n.view.Load(); view.Config != nil {
 			n.setRates(now, view)
 		}
+		if now-gauged >= gaugeInterval {
+			gauged = now
+			n.gaugeBeliefs(now, n.view.Load())
+		}
 		probes := n.picker.Probes(now)
 		n.mu.Unlock()
 		for _, s := range probes {
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -24,7 +24,7 @@
 	})
 	n.metrics.Count(1, "probes")
 	if err != nil || got.Status != http.StatusOK || got.Told.Instance != s.ID {
-		n.log.V(1).Info("probe failed", "server", s.ID, "service", s.Service)
+		n.verbose("probe failed", "server", s.ID, "service", s.Service)
 		return
 	}
 	n.mu.Lock()
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -6,13 +6,10 @@
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/entry/eventlog"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 )
 
-// successSample is one in how many successes is logged, chosen by the id of
-// the attempt, so that all VMs agree.
-const successSample = 64
-
 // record logs and counts how a request ended.
 func (n *Node) record(r *request, a *ingress.Answer) {
 	account, class := "", ""
@@ -23,17 +20,13 @@
 		class = r.route.Name
 	}
 	elapsed := time.Since(r.in.Arrived)
-	if a.Status < http.StatusBadRequest {
-		n.metrics.Answered(account, class, elapsed)
-		if !placement.Sampled(r.caller.Attempt, successSample) {
-			return
-		}
-	} else {
-		n.metrics.Rejected(account, statusName(a.Status))
+	kind := n.countOutcome(r, a.Status, account, class, elapsed)
+	if kind == "" {
+		return
 	}
 	now := n.now()
 	n.mu.Lock()
-	ok, omitted := n.lines.Allow(now, "request "+statusName(a.Status))
+	ok, omitted := n.lines.Allow(now, "request "+kind)
 	digestAge := n.peers.DigestAge(now)
 	counter := n.counters[account]
 	n.mu.Unlock()
@@ -43,7 +36,27 @@
 	n.log.Info("request", "id", r.caller.Attempt, "status", a.Status, "account", account, "route", class,
 		"service", r.place.Service, "region", r.place.Region, "server", r.server, "sent", r.sent, "ms", elapsed.Milliseconds(),
 		"reason", r.reason, "rank", r.place.Rank, "expectedMS", r.expected.Milliseconds(), "waitMS", r.caller.Wait.Milliseconds(),
-		"config", configVersion(r), "digestAgeMS", digestAge.Milliseconds(), "counter", counter, "omitted", omitted)
+		"config", configVersion(r), "operatorAgeMS", n.operatorAge(now).Milliseconds(), "digestAgeMS", digestAge.Milliseconds(), "counter", counter, "omitted", omitted)
+}
+
+// countOutcome counts how a request ended. It returns the kind of its log line,
+// empty for a success outside the sample.
+func (n *Node) countOutcome(r *request, status int, account, class string, elapsed time.Duration) string {
+	if status >= http.StatusBadRequest {
+		n.metrics.Rejected(account, statusName(status))
+		n.metrics.Count(1, "rejected_class", class, statusName(status))
+		return statusName(status)
+	}
+	n.metrics.Answered(account, class, elapsed)
+	if r.route != nil && elapsed > r.route.Objective {
+		// A late answer is a failure to its caller, who may complain.
+		n.metrics.Count(1, "late", class)
+		return "late"
+	}
+	if !eventlog.Sampled(r.caller.Attempt, n.options.Load().Log.SuccessSample) {
+		return ""
+	}
+	return "answered"
 }
 
 // recordSend logs a send that brought no answer for the caller.
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -336,21 +336,32 @@
 	Weight float64 `json:"weight"`
 }
 
+// ErrVMEntry means that the entry of a VM cannot be read.
+var ErrVMEntry = errors.New("unreadable VM entry")
+
+// DecodeVM decodes the entry of a VM.
+func DecodeVM(name string, raw []byte) (*steering.VM, error) {
+	var e vmEntry
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return nil, errors.Wrap(ErrVMEntry, err.Error())
+	}
+	return &steering.VM{
+		Name: name, Zone: e.FailureDomain, Region: e.Region, Front: e.Front,
+		Exchange: e.Exchange, Born: e.Born, Leaving: e.Leaving, Weight: e.Weight,
+	}, nil
+}
+
 func decodeVMs(n *Node, rows []adapter.Row) []catalog.Change[steering.VM] {
 	changes := make([]catalog.Change[steering.VM], 0, len(rows))
 	for _, row := range rows {
 		change := catalog.Change[steering.VM]{Key: row.Key, Version: row.Version}
 		if !row.Deleted {
-			var e vmEntry
-			if err := json.Unmarshal(row.Value, &e); err != nil {
+			vm, err := DecodeVM(row.Key, row.Value)
+			if err != nil {
 				change.Unreadable = true
 				n.log.Info("VM entry cannot be read", "vm", row.Key, "version", row.Version, "error", err.Error())
-			} else {
-				change.Value = &steering.VM{
-					Name: row.Key, Zone: e.FailureDomain, Region: e.Region, Front: e.Front,
-					Exchange: e.Exchange, Born: e.Born, Leaving: e.Leaving, Weight: e.Weight,
-				}
 			}
+			change.Value = vm
 		}
 		changes = append(changes, change)
 	}
