--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -501,6 +501,9 @@
 	}
 	s.inflight = max(0, s.inflight-1)
 	s.fade(now)
+	if result == Succeeded || result == Failed || result == Shed {
+		s.heard = now
+	}
 	switch result {
 	case Succeeded:
 		s.failures = 0
@@ -599,7 +602,7 @@
 	if s == nil || !s.suspect {
 		return
 	}
-	s.suspect, s.suspendedUntil = false, now
+	s.suspect, s.suspendedUntil, s.heard = false, now, now
 	s.coldUntil = max(s.coldUntil, now+cold)
 	if g := p.groups[s.told.Service]; g != nil && s.isCold(now) {
 		p.assignColdServer(now, g, s)
