placement: the next server stands in for a suspended one; full servers are not told as missing

Change: the first server that is not suspended takes objects up to a load of 0.6. A cold server keeps its place. Where servers have no room the reason is 'overloaded'.

--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -49,7 +49,7 @@
 // come back serves more callers in time. A server that has got an object from
 // this VM is warm for it and not bound by this, so that an object that is asked
 // for a lot spreads.
-var spillLoad = [...]float64{secondPlace: 0.3, otherPlace: 0.05}
+var spillLoad = [...]float64{secondPlace: 0.3, otherPlace: 0.05, standIn: 0.6}
 
 // patience is the longest wait in a server's queue that a request is sent to, as
 // a part of its objective, by rank. Under overload, the least important requests
@@ -288,7 +288,7 @@
 	}
 	// Elsewhere there may be room, or servers at all.
 	other := p.elsewhere(now, g, r)
-	if best.Server == nil {
+	if best.Server == nil && (other.Server != nil || best.Reason == "") {
 		best = other
 	}
 	switch {
@@ -310,7 +310,8 @@
 		if region == r.Region {
 			continue
 		}
-		if c := p.best(now, g, r, region); c.Server != nil && (other.Server == nil || c.Expected < other.Expected) {
+		c := p.best(now, g, r, region)
+		if c.Server != nil && (other.Server == nil || c.Expected < other.Expected) || other.Server == nil && other.Reason == "" {
 			other = c
 		}
 	}
@@ -321,7 +322,7 @@
 func (p *Picker) judge(r *Request, c Choice) Reason {
 	switch {
 	case c.Server == nil:
-		return NoServer
+		return cmp.Or(c.Reason, NoServer)
 	case c.Expected > r.Remaining:
 		return NoTime
 	case c.wait > longestWait(r):
@@ -350,12 +351,15 @@
 		return Choice{}
 	}
 	ranked, sample := in.candidates(r.Object)
-	found := p.cheapest(now, g, r, ranked, 0, bid{cost: math.Inf(1)})
-	found = p.cheapest(now, g, r, sample, len(ranked), found)
+	found := p.cheapest(now, g, r, ranked, true, bid{cost: math.Inf(1)})
+	found = p.cheapest(now, g, r, sample, false, found)
 	if found.server == nil && len(ranked)+len(sample) < len(in.servers) {
-		found = p.cheapest(now, g, r, in.servers, len(ranked), found)
+		found = p.cheapest(now, g, r, in.servers, false, found)
 	}
 	chosen, choice := found.server, found.choice
+	if chosen == nil && found.full {
+		return Choice{Reason: Overloaded}
+	}
 	if chosen != nil && chosen.isCold(now) {
 		if ok, _ := chosen.cold.Take(now); !ok {
 			return Choice{}
@@ -369,21 +373,35 @@
 	server *server
 	choice Choice
 	cost   float64
+	// full is set if there are usable servers without room.
+	full bool
 }
 
 // cheapest returns the cheapest usable server of list if it is cheaper than
-// best. The first of list is at place from in the ranking of the object.
-func (p *Picker) cheapest(now time.Duration, g *group, r *Request, list []*server, from int, best bid) bid {
+// best. Ranked lists are in the order of the object's servers; a suspended one
+// leaves its place to the next, or its objects would be served by nobody while
+// the others are in use. A cold one keeps it: its objects would be back within
+// seconds, and push out others meanwhile.
+func (p *Picker) cheapest(now time.Duration, g *group, r *Request, list []*server, ranked bool, best bid) bid {
+	next := firstPlace
 	for i, s := range list {
+		at := otherPlace
+		if ranked && !s.isSuspended(now) {
+			at = next
+			next = min(next+1, otherPlace)
+		}
 		if !p.usable(now, s, r) {
 			continue
 		}
-		at := otherPlace
-		if r.Object != 0 && from+i < int(otherPlace) {
-			at = place(from + i)
+		if at == firstPlace && i > 0 {
+			at = standIn
 		}
-		if choice, cost, ok := p.weigh(now, g, r, s, at); ok && cost < best.cost {
-			best = bid{s, choice, cost}
+		choice, cost, ok := p.weigh(now, g, r, s, at)
+		switch {
+		case !ok:
+			best.full = true
+		case cost < best.cost:
+			best = bid{server: s, choice: choice, cost: cost}
 		}
 	}
 	return best
@@ -396,6 +414,8 @@
 	firstPlace place = iota
 	secondPlace
 	otherPlace
+	// standIn is the first server that is not suspended.
+	standIn
 )
 
 // weigh returns what a request expects of a server and the cost of sending it
@@ -444,7 +464,7 @@
 
 func (p *Picker) usable(now time.Duration, s *server, r *Request) bool {
 	s.fade(now)
-	if s.suspect || now < s.suspendedUntil || slices.Contains(r.Tried, s.told.ID) {
+	if s.isSuspended(now) || slices.Contains(r.Tried, s.told.ID) {
 		return false
 	}
 	if s.isCold(now) && (!s.coldOwner || s.cold.Tokens(now) < 1) {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -487,3 +487,36 @@
 		require.True(t, s.isWarm(0, 3*warmObjects-i))
 	}
 }
+
+// Replays the failure of the first server of an object while the others are in
+// use. Guards against requests that are rejected for its objects although the
+// other servers have room.
+func TestObjectsOfAFailedServerMoveToTheNext(t *testing.T) {
+	p := picker(servers("north", 4, 8))
+	first := p.Pick(0, request(7)).Server
+	for _, s := range p.servers {
+		p.Reported(0, s.told.ID, 8, 0)
+	}
+	c := Choice{Server: first}
+	p.Started(0, request(7), c)
+	p.Finished(0, request(7), c, Unreachable, time.Millisecond)
+	served := make(map[string]bool)
+	for range 10 {
+		c := p.Pick(0, request(7))
+		require.NotNil(t, c.Server, c.Reason)
+		require.NotEqual(t, first.ID, c.Server.ID)
+		served[c.Server.ID] = true
+	}
+	require.Len(t, served, 1, "one server takes its place, so that it gets warm")
+	for _, s := range p.servers {
+		p.Reported(0, s.told.ID, 8, 8)
+		p.Reported(0, s.told.ID, 8, 8)
+	}
+	c = p.Pick(0, request(9999))
+	for c.Server != nil {
+		require.NotEqual(t, first.ID, c.Server.ID)
+		p.Started(0, request(9999), c)
+		c = p.Pick(0, request(9999))
+	}
+	require.Equal(t, Overloaded, c.Reason, "servers that have no room are not told as missing")
+}
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -146,6 +146,8 @@
 	delete(s.warm, oldest)
 }
 
+func (s *server) isSuspended(now time.Duration) bool { return s.suspect || now < s.suspendedUntil }
+
 func (s *server) isCold(now time.Duration) bool { return now < s.coldUntil }
 
 func hashString(text string) uint64 {
