--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -61,7 +61,6 @@
 	nc     net.Conn
 	head   *headLimit
 	br     *bufio.Reader
-	bw     *bufio.Writer
 	ctx    context.Context
 	cancel context.CancelFunc
 	slots  chan struct{}
@@ -102,7 +101,7 @@
 	head := &headLimit{r: nc, n: unlimited}
 	c := &conn{
 		server: s, nc: nc, head: head, br: bufio.NewReaderSize(head, readBufferBytes),
-		bw: bufio.NewWriterSize(nc, readBufferBytes), slots: make(chan struct{}, pipelineDepth),
+		slots: make(chan struct{}, pipelineDepth),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -437,12 +436,21 @@
 	if r != nil {
 		resp.Request = r.Request
 	}
-	if err := resp.Write(c.bw); err != nil {
+	bw := writers.Get().(*bufio.Writer)
+	bw.Reset(c.nc)
+	defer func() {
+		bw.Reset(nil)
+		writers.Put(bw)
+	}()
+	if err := resp.Write(bw); err != nil {
 		return err
 	}
-	return c.bw.Flush()
+	return bw.Flush()
 }
 
+// writers are shared, since most connections are idle at a time.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, readBufferBytes) }}
+
 // linger lets the caller read the last answer before the connection closes.
 func (c *conn) linger() {
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
