--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -455,6 +455,7 @@
 func (r *request) giveUp(choice placement.Choice) *ingress.Answer {
 	switch {
 	case r.last != nil:
+		r.reason += "; " + string(choice.Reason)
 		return r.pass(r.last)
 	case r.silent:
 		return r.reject(http.StatusGatewayTimeout, 0, r.reason+"; "+string(choice.Reason))
--- a/entry/gateway/serve_test.go
+++ b/entry/gateway/serve_test.go
@@ -267,6 +267,17 @@
 	}
 }
 
+// Guards against a log line that tells the failure of a look-up but not why no
+// other server got it.
+func TestReasonTellsWhyNothingIsSentAgain(t *testing.T) {
+	b := &backends{serve: every(answering(500, "mine"))}
+	run(t, b, configuration(), func(n *Node, _ func(*ingress.Request) *ingress.Answer) {
+		r := &request{node: n, view: n.view.Load(), in: request0("GET", "/look/")}
+		require.Equal(t, 500, r.serve(context.Background()).Status)
+		require.Equal(t, "failure answer of backend server; all attempts used", r.reason)
+	})
+}
+
 // Guards against giving up a look-up that another server can answer, and
 // against replacing a failure of the service by one of our own.
 func TestLookupIsSentAgain(t *testing.T) {
