soak: the links between gateways and backend servers are cut, silenced, forgotten or hold back answers

Cause: proxies stood only before the store; a server that could not be reached, or whose answers were lost on the way, was played by the server itself. The new faults are drawn apart, so that the plans of earlier seeds stay.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -43,6 +43,7 @@
 	id, service, zone string
 	listener          net.Listener
 	ledger            *ledger
+	link              *proxy
 	slots             chan struct{}
 
 	mu       sync.Mutex
@@ -50,12 +51,17 @@
 	draining bool
 }
 
-func newBackend(id, service, zone, address string, l *ledger) (*backend, error) {
+// newBackend starts a server that listens at address; gateways reach it by link.
+func newBackend(id, service, zone, address, link string, l *ledger) (*backend, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, service: service, zone: zone, listener: listener, ledger: l, slots: make(chan struct{}, 16)}
+	p, err := newProxy(link, address)
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{id: id, service: service, zone: zone, listener: listener, ledger: l, link: p, slots: make(chan struct{}, 16)}
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	return b, nil
@@ -64,7 +70,7 @@
 // register writes the entry of the server.
 func (b *backend) register(s *platformstore.Store, state string) error {
 	return s.Put("servers", b.id, map[string]any{
-		"service": b.service, "address": b.listener.Addr().String(), "zone": b.zone, "version": "v1", "slots": 16,
+		"service": b.service, "address": b.link.listener.Addr().String(), "zone": b.zone, "version": "v1", "slots": 16,
 		"state": state, "cold_left": "0ms", "sequence": 1, "born": 1,
 	})
 }
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -32,6 +34,10 @@
 	Evacuate      Kind = "evacuate"
 	Change        Kind = "configuration"
 	Withdraw      Kind = "withdraw key"
+	LinkCut       Kind = "link to server cut"
+	LinkSilent    Kind = "link to server silent"
+	LinkOneWay    Kind = "answers of server held back"
+	LinkForgets   Kind = "link to server forgets"
 )
 
 var kinds = []Kind{
@@ -39,6 +45,10 @@
 	ServerSlow, ServerShed, ServerFails, ServerHangs, ServerGarbles, ServerLeaves, Evacuate, Change, Withdraw,
 }
 
+// linkKinds hit the connections between all gateways and one backend server.
+// They are drawn apart, so that the plans of seeds which found something stay.
+var linkKinds = []Kind{LinkCut, LinkSilent, LinkOneWay, LinkForgets}
+
 // Event is one fault of a plan.
 type Event struct {
 	At, For time.Duration
@@ -73,6 +83,20 @@
 		plan = append(plan, e)
 		at += time.Duration(random.Int64N(int64(1200 * time.Millisecond)))
 	}
+	plan = append(plan, linkPlan(seed, length, servers)...)
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+func linkPlan(seed uint64, length time.Duration, servers int) []Event {
+	random := rand.New(rand.NewPCG(seed, 0x11))
+	var plan []Event
+	for at := time.Second; at < length; at += time.Duration(random.Int64N(int64(4 * time.Second))) {
+		plan = append(plan, Event{
+			At: at, For: 300*time.Millisecond + time.Duration(random.Int64N(int64(2*time.Second))),
+			Kind: linkKinds[random.IntN(len(linkKinds))], Target: random.IntN(servers),
+		})
+	}
 	return plan
 }
 
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -18,9 +18,12 @@
 	// forgetOpen holds back the bytes of open connections for good, while new
 	// ones work: something between the two ends has lost track of them.
 	forgetOpen
+	// oneWay passes what comes from the near end and holds back what comes from
+	// the far end.
+	oneWay
 )
 
-// proxy stands between one gateway and the store.
+// proxy stands between one gateway and the store, or before a backend server.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -61,11 +64,12 @@
 	p.wake = make(chan struct{})
 }
 
-// hold waits while the bytes of a connection are held back.
-func (p *proxy) hold(c net.Conn) {
+// hold waits while the bytes of a connection are held back; back is set for
+// those from the far end.
+func (p *proxy) hold(c net.Conn, back bool) {
 	for {
 		p.mu.Lock()
-		held, wake := p.mode == silence || p.lost[c], p.wake
+		held, wake := p.mode == silence || back && p.mode == oneWay || p.lost[c], p.wake
 		open := p.conns[c]
 		p.mu.Unlock()
 		if !held || !open {
@@ -103,21 +107,21 @@
 		delete(p.lost, c)
 		p.mu.Unlock()
 	}()
-	p.hold(c)
+	p.hold(c, false)
 	up, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
 	defer up.Close()
-	go p.copy(up, c, c)
-	p.copy(c, up, c)
+	go p.copy(up, c, c, false)
+	p.copy(c, up, c, true)
 }
 
-func (p *proxy) copy(to, from, key net.Conn) {
+func (p *proxy) copy(to, from, key net.Conn, back bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		p.hold(key)
+		p.hold(key, back)
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
--- a/standin/soak/world.go
+++ b/standin/soak/world.go
@@ -100,6 +100,9 @@
 	key      string
 	zone     string
 	server   string
+	// link names the server of a disturbed link. It has a name of its own, so
+	// that faults of the server itself go on beside those of its link.
+	link string
 }
 
 // node is one gateway process.
@@ -138,7 +141,7 @@
 		if i >= servers/2 {
 			service = "hall"
 		}
-		b, err := newBackend(fmt.Sprintf("i-%d", i), service, zones[i%len(zones)], w.address(100+i, 8000), w.ledger)
+		b, err := newBackend(fmt.Sprintf("i-%d", i), service, zones[i%len(zones)], w.address(100+i, 8000), w.address(150+i, 8000), w.ledger)
 		if err != nil {
 			return nil, errors.Wrap(ErrStart, err.Error())
 		}
@@ -310,6 +313,7 @@
 		p.close()
 	}
 	for _, b := range w.backs {
+		b.link.close()
 		_ = b.listener.Close()
 	}
 }
@@ -361,12 +365,14 @@
 		f.server = w.backs[e.Target].id
 	case Evacuate:
 		f.zone = zones[e.Target%len(zones)]
+	case LinkCut, LinkSilent, LinkOneWay, LinkForgets:
+		f.link = "link " + w.backs[e.Target].id
 	}
 	if e.Kind == Withdraw {
 		w.withdraw(f)
 		return
 	}
-	if thing := f.zone + f.server; thing != "" {
+	if thing := f.zone + f.server + f.link; thing != "" {
 		if !w.claim(thing) {
 			return
 		}
@@ -393,6 +399,8 @@
 		w.nodes[e.Target].signal(syscall.SIGHUP)
 	case StoreCut, StoreSilent, StoreReset:
 		w.cut(e)
+	case LinkCut, LinkSilent, LinkOneWay, LinkForgets:
+		w.cutLink(e)
 	case StoreBusy, StoreSlow, StoreLoses:
 		w.store.SetFaults(storeFaults(e.Kind))
 		time.Sleep(e.For)
@@ -426,6 +434,14 @@
 	}
 }
 
+// cutLink disturbs the connections between the gateways and a backend server.
+func (w *world) cutLink(e Event) {
+	link := w.backs[e.Target].link
+	link.set(map[Kind]proxyMode{LinkCut: refuse, LinkSilent: silence, LinkOneWay: oneWay, LinkForgets: forgetOpen}[e.Kind])
+	time.Sleep(e.For)
+	link.set(pass)
+}
+
 func (w *world) disturbServers(e Event) {
 	switch e.Kind {
 	case Evacuate:
