exchange: a part of a rate ends with the report that its digest confirms; spec/shares.pml

Cause, found by writing the specification: a VM whose reports are lost while digests still reach it went on using its part for up to 5.5 s after its last report that was heard, although the hub gives that part to others after 2.5 s. Ruled out: expiry from the arrival of the report at the hub, which would leave VMs without a part while the second hub takes over.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -64,6 +64,12 @@
 // digestValid is for how long a VM uses a digest.
 func digestValid(vms int) time.Duration { return silentAfter(vms) + Interval(vms) }
 
+// partValid is for how long after a report was sent a digest that confirms it
+// gives a part of the rates. The hub divides the parts of a VM among the others
+// once it has not heard it for silentAfter; a VM whose reports are lost but that
+// still gets digests would use its part as well (spec/shares.pml).
+func partValid(vms int) time.Duration { return digestValid(vms) + Interval(vms) }
+
 // hubTimeout is after how long without a digest the next hub is believed.
 func hubTimeout(vms int) time.Duration { return 3 * Interval(vms) }
 
@@ -153,7 +159,8 @@
 	regions map[string]string
 	asked   map[string]time.Duration
 	seq     uint64
-	reports map[uint64]map[string]float64
+	// reports are the newest ones of this VM, by number.
+	reports map[uint64]sentReport
 	members map[string]*member
 	pulses  map[string]*pulse
 	digest  Digest
@@ -179,12 +186,18 @@
 	until  time.Duration
 }
 
+// sentReport is the demand of a report and when it was sent.
+type sentReport struct {
+	demand map[string]float64
+	at     time.Duration
+}
+
 type counterKey struct{ region, account string }
 
 // New returns the machine of a VM that starts now.
 func New(self string, born int64, now time.Duration) *Machine {
 	return &Machine{
-		self: self, born: born, started: now, reports: make(map[uint64]map[string]float64),
+		self: self, born: born, started: now, reports: make(map[uint64]sentReport),
 		members: make(map[string]*member), pulses: make(map[string]*pulse), regions: make(map[string]string),
 		asked: make(map[string]time.Duration), counters: make(map[counterKey]string),
 	}
@@ -317,11 +330,11 @@
 	}
 }
 
-// Report returns this VM's next report.
-func (m *Machine) Report(region string, demand map[string]float64, work Work, ready bool) Report {
+// Report returns this VM's next report, which is to be sent at now.
+func (m *Machine) Report(now time.Duration, region string, demand map[string]float64, work Work, ready bool) Report {
 	m.seq++
 	demand = rounded(demand)
-	m.reports[m.seq] = demand
+	m.reports[m.seq] = sentReport{demand, now}
 	for seq := range m.reports {
 		if len(m.reports) > keptReports && seq+4*keptReports < m.seq {
 			delete(m.reports, seq)
@@ -396,7 +409,7 @@
 // one that counts the account in its region.
 func (m *Machine) Part(now time.Duration, account string, rate float64) float64 {
 	d, fresh := m.Digest(now)
-	if !fresh {
+	if !fresh || now-m.reports[d.Ack].at >= partValid(len(m.roster)) {
 		// As many equal parts as VMs ask here: they do not use theirs.
 		return min(1, float64(1+m.askers(now))*m.OwnPart())
 	}
@@ -444,7 +457,7 @@
 // account has not measured it yet. What its predecessor counted is used only if
 // the whole demand fits into the rate: then it takes nothing from others.
 func (m *Machine) ownDemand(now time.Duration, d Digest, account string, rate float64) (own, sum float64) {
-	own, sum = m.reports[d.Ack][account], d.Demand[account]
+	own, sum = m.reports[d.Ack].demand[account], d.Demand[account]
 	if now >= m.orphans.until || m.orphans.region != m.regions[m.self] {
 		return own, sum
 	}
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -74,7 +74,7 @@
 		if f.dead[name] {
 			continue
 		}
-		r := m.Report("north", map[string]float64{"hot": f.demand[name]}, Work{}, true)
+		r := m.Report(f.now, "north", map[string]float64{"hot": f.demand[name]}, Work{}, true)
 		for _, hub := range m.Hubs(f.now) {
 			f.deliver(hub, r, func(h *Machine) { h.HandleReport(f.now, r) })
 		}
@@ -264,7 +264,7 @@
 		for a := range accounts {
 			demand[fmt.Sprintf("acct%03d", a)] = float64(a+i) / 7
 		}
-		hub.HandleReport(f.now, f.machines[name].Report("north", demand, Work{Free: map[string]float64{"desk": 3}}, true))
+		hub.HandleReport(f.now, f.machines[name].Report(f.now, "north", demand, Work{Free: map[string]float64{"desk": 3}}, true))
 	}
 	for _, d := range hub.Digests(f.now) {
 		raw, err := json.Marshal(d)
@@ -283,8 +283,8 @@
 		name := f.names()[0]
 		again := New(name, born, f.now)
 		again.SetRoster(f.roster)
-		early := again.Report("north", nil, Work{}, true)
-		late := again.Report("north", map[string]float64{"hot": 42}, Work{}, true)
+		early := again.Report(f.now, "north", nil, Work{}, true)
+		late := again.Report(f.now, "north", map[string]float64{"hot": 42}, Work{}, true)
 		hub.HandleReport(f.now, late)
 		hub.HandleReport(f.now, early)
 		require.Equal(t, 42.0, hub.members[name].report.Demand["hot"])
@@ -364,7 +364,7 @@
 	m := New("a", 1, 0)
 	m.SetRoster([]Member{{Name: "a", Region: "north"}, {Name: "b", Region: "south"}})
 	pinned := map[string]map[string]float64{"north": {"desk": 2}}
-	m.HandleReport(0, m.Report("north", nil, Work{Free: map[string]float64{"desk": 1}, Pinned: pinned}, true))
+	m.HandleReport(0, m.Report(0, "north", nil, Work{Free: map[string]float64{"desk": 1}, Pinned: pinned}, true))
 	m.HandleReport(0, Report{VM: "b", Region: "south", Seq: 1, Work: map[string]float64{"desk": 4}, Pinned: pinned})
 	d := m.Digests(0)["a"]
 	require.Equal(t, map[string]map[string]float64{"north": {"desk": 1}, "south": {"desk": 4}}, d.Work)
@@ -413,13 +413,18 @@
 	roster := []Member{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "s"}}
 	digest := func(seq uint64, demand float64, silent ...string) Digest {
 		return Digest{
-			Hub: "c", Born: 1, Seq: seq, Size: 3, Live: 3 - len(silent), Settled: true, Silent: silent,
+			Hub: "c", Born: 1, Seq: seq, Ack: 1, Size: 3, Live: 3 - len(silent), Settled: true, Silent: silent,
 			Demand: map[string]float64{"account": demand},
 		}
 	}
-	fail := func(before, after float64) *Machine {
-		m := New("a", 1, 0)
+	start := func(name string) *Machine {
+		m := New(name, 1, 0)
 		m.SetRoster(roster)
+		m.Report(time.Second, "r", nil, Work{}, true)
+		return m
+	}
+	fail := func(before, after float64) *Machine {
+		m := start("a")
 		m.HandleDigest(time.Second, digest(1, before))
 		m.HandleDigest(2*time.Second, digest(2, after, "b"))
 		return m
@@ -429,14 +434,34 @@
 	require.GreaterOrEqual(t, m.Part(2*time.Second, "account", rate)*rate, 30.0, "what the failed VM counted")
 	require.Less(t, m.Part(2*time.Second+orphanIntervals*Interval(3), "account", rate)*rate, 30.0, "not for ever")
 	full := fail(200, 150)
-	plain := New("a", 1, 0)
-	plain.SetRoster(roster)
+	plain := start("a")
 	plain.HandleDigest(2*time.Second, digest(2, 150, "b"))
 	require.Equal(t, plain.Part(2*time.Second, "account", rate), full.Part(2*time.Second, "account", rate),
 		"where demand exceeds the rate, nothing is taken from other regions")
-	other := New("c", 1, 0)
-	other.SetRoster(roster)
+	other := start("c")
 	other.HandleDigest(time.Second, digest(1, 50))
 	other.HandleDigest(2*time.Second, digest(2, 20, "b"))
 	require.Less(t, other.Part(2*time.Second, "account", rate)*rate, 100*2.0/3, "the other region did not count it")
 }
+
+// Guards against an account that exceeds its rate while the reports of a VM are
+// lost and digests still reach it: the hub gives its part to others, so it must
+// not go on using it. The same fault is a mutation of spec/shares.pml.
+func TestPartEndsWithTheReportThatItConfirms(t *testing.T) {
+	m := New("a", 1, 0)
+	m.SetRoster([]Member{{Name: "a", Region: "r"}, {Name: "b", Region: "s"}, {Name: "c", Region: "t"}})
+	m.Report(0, "r", map[string]float64{"account": 90}, Work{}, true)
+	const rate = 100
+	heard := time.Duration(0)
+	for at := time.Duration(0); at < silentAfter(3); at += Interval(3) {
+		m.HandleDigest(at, Digest{
+			Hub: "b", Born: 1, Seq: uint64(at) + 1, Ack: 1, Size: 3, Live: 3, Settled: true, Demand: map[string]float64{"account": 90},
+		})
+		heard = at
+		require.Greater(t, m.Part(at, "account", rate), 0.8)
+	}
+	// From silentAfter on the hub gives the part to others.
+	end := silentAfter(3) + 2*Interval(3)
+	require.Less(t, end, heard+digestValid(3), "the digest itself is still valid")
+	require.InDelta(t, 1.0/3, m.Part(end, "account", rate), 0.01)
+}
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -83,7 +83,7 @@
 		interval := exchange.Interval(n.peers.Size())
 		n.demand.Roll(now)
 		accounts, work := n.demand.Report()
-		report := n.peers.Report(n.settings.Region, accounts, work, !n.stopping.Load() && view.Ready)
+		report := n.peers.Report(now, n.settings.Region, accounts, work, !n.stopping.Load() && view.Ready)
 		out := make(map[string]datagram)
 		for _, hub := range n.peers.Hubs(now) {
 			if hub == n.settings.VM {
--- a/measure/steersim/rates.go
+++ b/measure/steersim/rates.go
@@ -221,7 +221,7 @@
 	}
 	v.meter.Roll(now)
 	requests, work := v.meter.Report()
-	report := v.peers.Report(v.region, requests, work, true)
+	report := v.peers.Report(now, v.region, requests, work, true)
 	for _, hub := range v.peers.Hubs(now) {
 		to := w.named(hub)
 		w.After(w.site.delay(v.region, to.region), func() {
--- a/measure/steersim/world.go
+++ b/measure/steersim/world.go
@@ -142,7 +142,7 @@
 	w, now := v.world, v.world.Elapsed()
 	v.meter.Roll(now)
 	requests, work := v.meter.Report()
-	report := v.peers.Report(v.region, requests, work, true)
+	report := v.peers.Report(now, v.region, requests, work, true)
 	for _, hub := range v.peers.Hubs(now) {
 		to := w.vmNamed(hub)
 		w.After(w.site.delay(v.region, to.region), func() { to.peers.HandleReport(w.Elapsed(), report) })
