exchange: groups with leaders in fleets of more than 96 VMs

Cause: a hub's messages grew with the fleet (1.7 MB/s at 300 VMs), and the interval of reports with it: at 300 VMs 3.6 s, so that a dead VM was known after 14 s, at 1,000 VMs after 48 s. Change: VMs report to a leader of their group (up to 64 VMs, by hash). Leaders tell the hubs in one bundle what their group asks for and who lives, hand the digest on and pulse what they read from a hub; a leader that relays does not read from another one. The interval stays below 1 s. Without a valid digest a VM reports to hubs as in a small fleet, which is how a group gets over the loss of its leader. Small fleets are unchanged. Found by the tests on the way: a hub as leader hid its group from the other hub; VMs that look for a hub were counted by leaders of other groups, so that parts added up to 1.28. Leaders now bundle their own group only.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -40,8 +40,10 @@
 	pulseValid = 1300 * time.Millisecond
 	// minInterval is the interval of reports in a small fleet.
 	minInterval = 500 * time.Millisecond
-	// intervalPerVM bounds the digests that a hub sends to 80 per second.
+	// intervalPerVM bounds the digests that a hub sends to some 80 per second,
+	// and maxInterval the interval of fleets that are in groups.
 	intervalPerVM = 12 * time.Millisecond
+	maxInterval   = 960 * time.Millisecond
 	// hubCount VMs are hubs, so that one may fail without a gap.
 	hubCount = 2
 	// searchCount VMs get each report while no hub is known.
@@ -55,7 +57,7 @@
 
 // Interval returns the time between two reports of a VM.
 func Interval(vms int) time.Duration {
-	return max(minInterval, time.Duration(vms)*intervalPerVM)
+	return min(max(minInterval, time.Duration(vms)*intervalPerVM), maxInterval)
 }
 
 // silentAfter is without a report for how long a VM counts as not alive.
@@ -96,8 +98,10 @@
 	Hub  string `json:"hub"`
 	Born int64  `json:"born"`
 	Seq  uint64 `json:"seq"`
-	// Ack is the newest report of the receiver that the digest counts.
-	Ack uint64 `json:"ack"`
+	// Ack is the newest report of the receiver that the digest counts, its
+	// newest bundle if Bundled is set.
+	Ack     uint64 `json:"ack"`
+	Bundled bool   `json:"bundled,omitempty"`
 	// Silent VMs did not report lately, Unready ones take no callers.
 	Silent  []string `json:"silent,omitempty"`
 	Unready []string `json:"unready,omitempty"`
@@ -129,6 +133,8 @@
 	Versions Versions `json:"versions"`
 	// Sound hubs were answered by the store a moment ago.
 	Sound bool `json:"sound,omitempty"`
+	// Relayed pulses are those of a leader that reads from a hub.
+	Relayed bool `json:"relayed,omitempty"`
 }
 
 // Member is one VM of the roster.
@@ -142,6 +148,8 @@
 type member struct {
 	report Report
 	heard  time.Duration
+	// via is the leader whose bundle told of the VM; empty if it reported here.
+	via string
 }
 
 type pulse struct {
@@ -163,6 +171,9 @@
 	reports map[uint64]sentReport
 	members map[string]*member
 	pulses  map[string]*pulse
+	// bundles are those of leaders, bundled what this leader's own ones hold.
+	bundles map[string]*heardBundle
+	bundled map[uint64]map[string]Presence
 	digest  Digest
 	rank    int
 	heardAt time.Duration
@@ -200,6 +211,7 @@
 		self: self, born: born, started: now, reports: make(map[uint64]sentReport),
 		members: make(map[string]*member), pulses: make(map[string]*pulse), regions: make(map[string]string),
 		asked: make(map[string]time.Duration), counters: make(map[counterKey]string),
+		bundles: make(map[string]*heardBundle), bundled: make(map[uint64]map[string]Presence),
 	}
 }
 
@@ -229,6 +241,11 @@
 			delete(m.pulses, vm)
 		}
 	}
+	for vm := range m.bundles {
+		if !present[vm] {
+			delete(m.bundles, vm)
+		}
+	}
 }
 
 // Size returns the number of VMs in the roster, at least 1.
@@ -279,8 +296,10 @@
 
 // Source returns the first hub that is sound and the versions it holds.
 func (m *Machine) Source(now time.Duration) (Pulse, bool) {
+	// Two leaders that read from each other would never read anything new.
+	relays := m.relays(now)
 	for _, vm := range m.roster {
-		if p := m.pulses[vm]; p != nil && vm != m.self && p.Sound && now-p.heard < pulseValid {
+		if p := m.pulses[vm]; p != nil && vm != m.self && p.Sound && now-p.heard < pulseValid && !(relays && p.Relayed) {
 			return p.Pulse, true
 		}
 	}
@@ -305,10 +324,16 @@
 	return !ok
 }
 
-// Pulse returns this VM's next pulse.
-func (m *Machine) Pulse(v Versions, sound bool) Pulse {
+// Pulse returns this VM's next pulse. Sound tells whether the store answered this
+// VM a moment ago; a leader that reads from a sound hub is sound as well.
+func (m *Machine) Pulse(now time.Duration, v Versions, sound bool) Pulse {
 	m.seq++
-	return Pulse{Hub: m.self, Born: m.born, Seq: m.seq, Versions: v, Sound: sound}
+	p := Pulse{Hub: m.self, Born: m.born, Seq: m.seq, Versions: v, Sound: sound}
+	if m.relays(now) {
+		_, fed := m.Source(now)
+		p.Relayed, p.Sound = true, sound || fed
+	}
+	return p
 }
 
 // HandlePulse takes a pulse of a hub.
@@ -383,21 +408,27 @@
 }
 
 // HandleDigest takes a digest; one of a hub earlier in the roster counts more
-// while it is fresh.
-func (m *Machine) HandleDigest(now time.Duration, d Digest) {
+// while it is fresh. It returns the digests that a leader hands on to its group.
+func (m *Machine) HandleDigest(now time.Duration, d Digest) map[string]Digest {
 	rank := slices.Index(m.roster, d.Hub)
 	if rank < 0 {
-		return
+		return nil
 	}
 	if m.heard && d.Hub == m.digest.Hub && d.Born == m.digest.Born && d.Seq <= m.digest.Seq {
-		return
+		return nil
 	}
 	if m.heard && d.Hub != m.digest.Hub && rank > m.rank && now-m.heardAt < hubTimeout(len(m.roster)) {
-		return
+		return nil
+	}
+	var forwards map[string]Digest
+	if d.Bundled {
+		forwards = m.forwards(d)
+		d.Ack, d.Bundled = m.bundled[d.Ack][m.self].Seq, false
 	}
 	m.noteOrphans(now, d)
 	m.digest, m.rank, m.heardAt, m.heard = d, rank, now, true
 	m.left = slices.Concat(d.Silent, d.Unready)
+	return forwards
 }
 
 // Digest returns the newest digest and whether it may still be used.
@@ -556,6 +587,9 @@
 	if len(m.members) == 0 {
 		return false
 	}
+	if m.grouped() && !slices.Contains(m.Hubs(now), m.self) {
+		return false
+	}
 	silent := silentAfter(len(m.roster))
 	for _, vm := range m.roster {
 		if vm == m.self {
@@ -571,8 +605,8 @@
 	return false
 }
 
-// Digests returns a digest for each VM that reported lately; they differ only
-// in the report that they confirm.
+// Digests returns a digest for each VM that reported here lately and for each
+// leader of a group; they differ only in what they confirm.
 func (m *Machine) Digests(now time.Duration) map[string]Digest {
 	silentAfter := silentAfter(len(m.roster))
 	m.seq++
@@ -597,14 +631,29 @@
 			addAll(base.Pinned, region, work)
 		}
 	}
+	bundles := m.freshBundles(now)
+	for _, b := range bundles {
+		add(base.Demand, b.Demand)
+		for region, work := range b.Work {
+			addAll(base.Work, region, work)
+		}
+		for region, work := range b.Pinned {
+			addAll(base.Pinned, region, work)
+		}
+	}
 	base.Demand, base.Work, base.Pinned = rounded(base.Demand), roundedAll(base.Work), roundedAll(base.Pinned)
 	for _, vm := range m.roster {
-		if o := m.members[vm]; o != nil && now-o.heard < silentAfter {
+		if o := m.members[vm]; o != nil && o.via == "" && now-o.heard < silentAfter {
 			d := base
 			d.Ack = o.report.Seq
 			digests[vm] = d
 		}
 	}
+	for _, b := range bundles {
+		d := base
+		d.Ack, d.Bundled = b.Seq, true
+		digests[b.Leader] = d
+	}
 	return digests
 }
 
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -75,10 +75,21 @@
 			continue
 		}
 		r := m.Report(f.now, "north", map[string]float64{"hot": f.demand[name]}, Work{}, true)
-		for _, hub := range m.Hubs(f.now) {
+		for _, hub := range m.ReportTo(f.now) {
 			f.deliver(hub, r, func(h *Machine) { h.HandleReport(f.now, r) })
 		}
 	}
+	for _, name := range f.names() {
+		m := f.machines[name]
+		if f.dead[name] {
+			continue
+		}
+		if b, ok := m.Bundle(f.now); ok {
+			for _, hub := range m.Hubs(f.now) {
+				f.deliver(hub, b, func(h *Machine) { h.HandleBundle(f.now, b) })
+			}
+		}
+	}
 	for _, name := range f.names() {
 		m := f.machines[name]
 		if f.dead[name] {
@@ -86,13 +97,27 @@
 		}
 		if m.Leads(f.now) {
 			for vm, d := range m.Digests(f.now) {
-				f.deliver(vm, d, func(o *Machine) { o.HandleDigest(f.now, d) })
+				f.deliver(vm, d, func(o *Machine) {
+					for member, forward := range o.HandleDigest(f.now, d) {
+						f.deliver(member, forward, func(to *Machine) { to.HandleDigest(f.now, forward) })
+					}
+				})
 			}
 		}
-		if m.IsHub(f.now) {
-			p := m.Pulse(f.versions, !f.unsound[name])
-			for _, vm := range f.names() {
-				f.deliver(vm, p, func(o *Machine) { o.HandlePulse(f.now, p) })
+	}
+	// Hubs pulse first, so that leaders pulse what they heard in the same round.
+	for _, hubs := range []bool{true, false} {
+		for _, name := range f.names() {
+			m := f.machines[name]
+			if to := m.PulseTo(f.now); !f.dead[name] && m.IsHub(f.now) == hubs && len(to) > 0 {
+				versions := f.versions
+				if source, ok := m.Source(f.now); ok && !hubs {
+					versions = source.Versions
+				}
+				p := m.Pulse(f.now, versions, hubs && !f.unsound[name])
+				for _, vm := range to {
+					f.deliver(vm, p, func(o *Machine) { o.HandlePulse(f.now, p) })
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/core/exchange/groups.go
@@ -0,0 +1,251 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// In a large fleet, VMs report to a leader of their group instead of to the hubs.
+// The leader tells the hubs in one message what its group asks for and who of it
+// lives, hands the digest on to its group, and pulses what it has read from a
+// hub. What a hub sends and receives then grows with the number of groups. A VM
+// whose leader fails has no valid digest after a while and reports to the hubs
+// itself, as in a small fleet, until the digest names another leader.
+
+const (
+	// groupSize bounds the VMs of a group.
+	groupSize = 64
+	// ungrouped is the largest fleet without groups: a hub sends a digest to
+	// each VM, 100 in a second.
+	ungrouped = 96
+)
+
+// Bundle is what a leader tells the hubs of its group.
+type Bundle struct {
+	Leader string `json:"leader"`
+	Born   int64  `json:"born"`
+	Seq    uint64 `json:"seq"`
+	// VMs are those that reported lately, the leader included.
+	VMs map[string]Presence `json:"vms"`
+	// Demand, Work and Pinned are sums as in a digest.
+	Demand map[string]float64            `json:"demand,omitempty"`
+	Work   map[string]map[string]float64 `json:"work,omitempty"`
+	Pinned map[string]map[string]float64 `json:"pinned,omitempty"`
+}
+
+// Presence is the newest report of a VM in a bundle.
+type Presence struct {
+	Born    int64  `json:"born"`
+	Seq     uint64 `json:"seq"`
+	Unready bool   `json:"unready,omitempty"`
+}
+
+type heardBundle struct {
+	Bundle
+	heard time.Duration
+}
+
+func (m *Machine) grouped() bool { return len(m.roster) > ungrouped }
+
+// groups returns the number of groups, a power of two so that few VMs change
+// their group when the fleet grows.
+func (m *Machine) groups() uint64 {
+	n := uint64(1)
+	for uint64(len(m.roster)) > n*groupSize {
+		n *= 2
+	}
+	return n
+}
+
+func (m *Machine) groupOf(vm string) uint64 { return xxhash.Sum64String(vm) & (m.groups() - 1) }
+
+// leaders returns the first VM of each group that is not known to be silent and
+// is no hub: hubs do not bundle, so that the other hub would not hear of the
+// group.
+func (m *Machine) leaders(d Digest) map[uint64]string {
+	skip := make(map[string]bool, len(d.Silent)+hubCount)
+	for _, vm := range d.Silent {
+		skip[vm] = true
+	}
+	for _, vm := range m.firstLive(d) {
+		skip[vm] = true
+	}
+	out := make(map[uint64]string)
+	for _, vm := range m.roster {
+		if g := m.groupOf(vm); out[g] == "" && !skip[vm] {
+			out[g] = vm
+		}
+	}
+	return out
+}
+
+// ReportTo returns the VMs to report to now, this one itself if it leads its
+// group.
+func (m *Machine) ReportTo(now time.Duration) []string {
+	digest, fresh := m.Digest(now)
+	hubs := m.Hubs(now)
+	if !m.grouped() || !fresh || !digest.Settled || slices.Contains(hubs, m.self) {
+		return hubs
+	}
+	if leader := m.leaders(digest)[m.groupOf(m.self)]; leader != "" {
+		return []string{leader}
+	}
+	return hubs
+}
+
+// direct returns the VMs that reported to this one lately, itself included.
+func (m *Machine) direct(now time.Duration) map[string]*member {
+	out := make(map[string]*member)
+	for vm, o := range m.members {
+		if o.via == "" && now-o.heard < silentAfter(len(m.roster)) {
+			out[vm] = o
+		}
+	}
+	return out
+}
+
+// ownGroup returns the VMs of this one's group that reported to it lately.
+// Others that did so are looking for a hub and would be counted twice.
+func (m *Machine) ownGroup(now time.Duration) map[string]*member {
+	out := m.direct(now)
+	for vm := range out {
+		if m.groupOf(vm) != m.groupOf(m.self) {
+			delete(out, vm)
+		}
+	}
+	return out
+}
+
+// Bundle returns what this VM tells the hubs of the VMs that report to it; ok is
+// false if none does or this VM is a hub.
+func (m *Machine) Bundle(now time.Duration) (b Bundle, ok bool) {
+	if !m.grouped() || m.IsHub(now) {
+		return Bundle{}, false
+	}
+	group := m.ownGroup(now)
+	if len(group) == 0 {
+		return Bundle{}, false
+	}
+	m.seq++
+	b = Bundle{
+		Leader: m.self, Born: m.born, Seq: m.seq, VMs: make(map[string]Presence, len(group)),
+		Demand: make(map[string]float64), Work: make(map[string]map[string]float64), Pinned: make(map[string]map[string]float64),
+	}
+	for vm, o := range group {
+		b.VMs[vm] = Presence{Born: o.report.Born, Seq: o.report.Seq, Unready: o.report.Unready}
+		add(b.Demand, o.report.Demand)
+		addAll(b.Work, o.report.Region, o.report.Work)
+		for region, work := range o.report.Pinned {
+			addAll(b.Pinned, region, work)
+		}
+	}
+	b.Demand, b.Work, b.Pinned = rounded(b.Demand), roundedAll(b.Work), roundedAll(b.Pinned)
+	m.bundled[b.Seq] = b.VMs
+	for seq := range m.bundled {
+		if seq+4*keptReports < m.seq {
+			delete(m.bundled, seq)
+		}
+	}
+	return b, true
+}
+
+// HandleBundle takes a bundle of a leader.
+func (m *Machine) HandleBundle(now time.Duration, b Bundle) {
+	old := m.bundles[b.Leader]
+	if old != nil && b.Born == old.Born && b.Seq <= old.Seq || !slices.Contains(m.roster, b.Leader) {
+		return
+	}
+	m.bundles[b.Leader] = &heardBundle{b, now}
+	for vm, p := range b.VMs {
+		heard := now
+		if o := m.members[vm]; o != nil && o.report.Born == p.Born {
+			if o.report.Seq > p.Seq {
+				continue
+			}
+			if o.report.Seq == p.Seq {
+				// Nothing new was heard of it.
+				heard = o.heard
+			}
+		}
+		m.members[vm] = &member{
+			report: Report{VM: vm, Region: m.regions[vm], Born: p.Born, Seq: p.Seq, Unready: p.Unready}, heard: heard, via: b.Leader,
+		}
+	}
+}
+
+// freshBundles returns the bundles that count: most of their VMs were not heard
+// by another way since.
+func (m *Machine) freshBundles(now time.Duration) []*heardBundle {
+	var out []*heardBundle
+	for _, leader := range m.roster {
+		b := m.bundles[leader]
+		if b == nil || now-b.heard >= silentAfter(len(m.roster)) {
+			continue
+		}
+		current := 0
+		for vm := range b.VMs {
+			if o := m.members[vm]; o != nil && o.via == leader {
+				current++
+			}
+		}
+		if 2*current >= len(b.VMs) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// forwards returns the digests for the VMs of this leader's group: each confirms
+// the report that was in the bundle which d confirms.
+func (m *Machine) forwards(d Digest) map[string]Digest {
+	out := make(map[string]Digest)
+	for vm, p := range m.bundled[d.Ack] {
+		if vm != m.self {
+			d.Ack, d.Bundled = p.Seq, false
+			out[vm] = d
+		}
+	}
+	return out
+}
+
+// PulseTo returns the VMs that get pulses of this one: all from a hub of a small
+// fleet; the leaders, and the VMs that report to it, from one of a large fleet;
+// its group from a leader.
+func (m *Machine) PulseTo(now time.Duration) []string {
+	hub := m.IsHub(now)
+	digest, fresh := m.Digest(now)
+	switch {
+	case hub && (!m.grouped() || !fresh):
+		return m.roster
+	case !m.grouped():
+		return nil
+	}
+	to := make(map[string]bool)
+	reporting := m.ownGroup(now)
+	if hub {
+		reporting = m.direct(now)
+		for _, vm := range m.leaders(digest) {
+			to[vm] = true
+		}
+		for _, vm := range m.firstLive(digest) {
+			to[vm] = true
+		}
+	}
+	for vm := range reporting {
+		to[vm] = true
+	}
+	delete(to, m.self)
+	out := make([]string, 0, len(to))
+	for vm := range to {
+		out = append(out, vm)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// relays reports whether other VMs hear from this one what a hub holds.
+func (m *Machine) relays(now time.Duration) bool {
+	return m.grouped() && !m.IsHub(now) && len(m.ownGroup(now)) > 1
+}
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -89,6 +89,8 @@
 	picker  *placement.Picker
 	peers   *exchange.Machine
 	vms     int
+	// forwards are digests that this VM is to hand on to its group.
+	forwards map[string]datagram
 	// buckets are those of the accounts that this VM counts for its region,
 	// reserves are used where the VM that counts does not answer.
 	buckets, reserves map[string]*ratelimit.Bucket
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/catalog"
@@ -16,6 +17,7 @@
 // datagram is one message between VMs; one field is set.
 type datagram struct {
 	Report *exchange.Report `json:"report,omitempty"`
+	Bundle *exchange.Bundle `json:"bundle,omitempty"`
 	Digest *exchange.Digest `json:"digest,omitempty"`
 	Pulse  *exchange.Pulse  `json:"pulse,omitempty"`
 	Take   *take            `json:"take,omitempty"`
@@ -42,7 +44,14 @@
 		}
 		n.mu.Lock()
 		reply, to := n.handle(n.now(), d)
+		forwards := n.forwards
+		n.forwards = nil
 		n.mu.Unlock()
+		if len(forwards) > 0 {
+			view := n.view.Load()
+			// Half an interval, so that a digest is handed on before the next.
+			go n.spread(ctx, view, forwards, exchange.Interval(len(view.VMs))/2)
+		}
 		if to != "" {
 			n.send(to, reply)
 		}
@@ -61,12 +70,20 @@
 	if d.Report != nil {
 		n.peers.HandleReport(now, *d.Report)
 	}
+	if d.Bundle != nil {
+		n.peers.HandleBundle(now, *d.Bundle)
+	}
 	if d.Pulse != nil {
 		n.peers.HandlePulse(now, *d.Pulse)
 		wake(n.relayWake)
 	}
 	if d.Digest != nil {
-		n.peers.HandleDigest(now, *d.Digest)
+		for vm, digest := range n.peers.HandleDigest(now, *d.Digest) {
+			if n.forwards == nil {
+				n.forwards = make(map[string]datagram)
+			}
+			n.forwards[vm] = datagram{Digest: &digest}
+		}
 		if view := n.view.Load(); view.Config != nil {
 			n.setRates(now, view)
 		}
@@ -85,11 +102,18 @@
 		accounts, work := n.demand.Report()
 		report := n.peers.Report(now, n.settings.Region, accounts, work, !n.stopping.Load() && view.Ready)
 		out := make(map[string]datagram)
-		for _, hub := range n.peers.Hubs(now) {
-			if hub == n.settings.VM {
+		for _, vm := range n.peers.ReportTo(now) {
+			if vm == n.settings.VM {
 				n.peers.HandleReport(now, report)
 			} else {
-				out[hub] = datagram{Report: &report}
+				out[vm] = datagram{Report: &report}
+			}
+		}
+		if bundle, ok := n.peers.Bundle(now); ok {
+			for _, hub := range n.peers.Hubs(now) {
+				d := out[hub]
+				d.Bundle = &bundle
+				out[hub] = d
 			}
 		}
 		for vm, digest := range n.leadDigests(now) {
@@ -149,15 +173,16 @@
 		versions, _ := n.mirrors.versions()
 		sound := n.sound()
 		n.mu.Lock()
-		hub := n.peers.IsHub(n.now()) && !n.stopping.Load()
-		pulse := n.peers.Pulse(versions, sound)
+		now := n.now()
+		targets := slices.Clone(n.peers.PulseTo(now))
+		pulse := n.peers.Pulse(now, versions, sound)
 		n.mu.Unlock()
-		if !hub {
+		if n.stopping.Load() {
 			continue
 		}
 		view := n.view.Load()
-		for name, vm := range view.VMs {
-			if name != n.settings.VM {
+		for _, name := range targets {
+			if vm := view.VMs[name]; vm != nil && name != n.settings.VM {
 				n.send(vm.Exchange, datagram{Pulse: &pulse})
 			}
 		}
