ingress: idle connections give their read buffers away

Cause: of the heap of 3,000 idle connections 48% were read buffers of 2 KB (heap profile of a gateway in a local run). A connection without a request for 250 ms now waits with one byte; a busy one keeps its buffer, which saves a system call.

--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -27,6 +27,10 @@
 	// lingerTimeout is how long a closed connection is read, so that the last
 	// answer is not lost to a reset.
 	lingerTimeout = 500 * time.Millisecond
+	// bufferIdle is after what time without a request a connection gives its
+	// read buffer away. Busy connections keep theirs, which saves a system call
+	// a request.
+	bufferIdle = 250 * time.Millisecond
 	// idleMargin is added to the idle timeout, so that a caller which uses the
 	// connection at the last moment is still read.
 	idleMargin = time.Second
@@ -60,6 +64,7 @@
 	server *Server
 	nc     net.Conn
 	head   *headLimit
+	// br is nil while the connection is idle.
 	br     *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -77,6 +82,9 @@
 type headLimit struct {
 	r io.Reader
 	n int
+	// first was read already, if hasFirst is set.
+	first    byte
+	hasFirst bool
 }
 
 // errHeadTooLarge means that a request's head exceeds the limit.
@@ -92,15 +100,19 @@
 	if len(p) > h.n {
 		p = p[:h.n]
 	}
+	if h.hasFirst && len(p) > 0 {
+		p[0], h.hasFirst = h.first, false
+		h.n--
+		return 1, nil
+	}
 	n, err := h.r.Read(p)
 	h.n -= n
 	return n, err
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	head := &headLimit{r: nc, n: unlimited}
 	c := &conn{
-		server: s, nc: nc, head: head, br: bufio.NewReaderSize(head, readBufferBytes),
+		server: s, nc: nc, head: &headLimit{r: nc, n: unlimited},
 		slots: make(chan struct{}, pipelineDepth),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -111,6 +123,9 @@
 func (c *conn) run() {
 	defer c.server.remove(c)
 	err := c.readAll()
+	if c.br != nil {
+		c.releaseReader()
+	}
 	if errors.Is(err, errStopReading) {
 		c.watchForEnd()
 		c.linger()
@@ -195,9 +210,13 @@
 // awaitRequest waits for the first byte of the next request.
 func (c *conn) awaitRequest() (time.Time, error) {
 	c.head.n = unlimited
+	end := time.Now().Add(c.server.handler.Limits().IdleTimeout + idleMargin)
 	for {
-		limits := c.server.handler.Limits()
-		if err := c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout + idleMargin)); err != nil {
+		deadline := end
+		if c.br != nil {
+			deadline = time.Now().Add(min(bufferIdle, time.Until(end)))
+		}
+		if err := c.nc.SetReadDeadline(deadline); err != nil {
 			return time.Time{}, err
 		}
 		// The end of the connection may have been decided just before the
@@ -205,21 +224,55 @@
 		if c.isClosed() {
 			return time.Time{}, errStopReading
 		}
-		_, err := c.br.Peek(1)
-		if err == nil {
+		err := c.awaitByte()
+		switch {
+		case err == nil:
 			return time.Now(), nil
-		}
-		if c.isClosed() {
+		case c.isClosed():
 			return time.Time{}, errStopReading
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return time.Time{}, err
+		case c.br != nil:
+			c.releaseReader()
 		}
-		// Answers in progress keep the connection open.
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.busy() {
+		if time.Now().Before(end) {
 			continue
 		}
-		return time.Time{}, err
+		// Answers in progress keep the connection open.
+		if !c.busy() {
+			return time.Time{}, err
+		}
+		end = time.Now().Add(c.server.handler.Limits().IdleTimeout + idleMargin)
 	}
 }
 
+// awaitByte waits for the next byte, which stays to be read.
+func (c *conn) awaitByte() error {
+	if c.br != nil {
+		_, err := c.br.Peek(1)
+		return err
+	}
+	var first [1]byte
+	if _, err := io.ReadFull(c.nc, first[:]); err != nil {
+		return err
+	}
+	c.br = readers.Get().(*bufio.Reader)
+	c.head.first, c.head.hasFirst = first[0], true
+	c.br.Reset(c.head)
+	_, err := c.br.Peek(1)
+	return err
+}
+
+// releaseReader gives the buffer of an idle connection to others.
+func (c *conn) releaseReader() {
+	c.br.Reset(nil)
+	readers.Put(c.br)
+	c.br = nil
+}
+
+// readers are shared, since most connections are idle at a time.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+
 // readRequest reads a whole request. A status other than 0 refuses it.
 func (c *conn) readRequest(arrived time.Time) (*Request, int, error) {
 	limits := c.server.handler.Limits()
--- a/entry/ingress/ingress_test.go
+++ b/entry/ingress/ingress_test.go
@@ -328,3 +328,47 @@
 		require.Equal(t, []string{"/a"}, h.started)
 	})
 }
+
+// Guards against a request that is lost or misread because its connection had
+// given its read buffer away, and against an idle connection that keeps it.
+func TestIdleConnectionGivesItsBufferAway(t *testing.T) {
+	run(t, newFake(), func(s *Server, c net.Conn, br *bufio.Reader) {
+		for i := range 4 {
+			send(c, get("/"+itoa(i)))
+			_, body := receive(t, br)
+			require.Equal(t, "/"+itoa(i), body)
+			time.Sleep(time.Duration(i) * bufferIdle)
+		}
+		synctest.Wait()
+		s.mu.Lock()
+		for conn := range s.conns {
+			require.Nil(t, conn.br)
+		}
+		s.mu.Unlock()
+		send(c, "POST /x HTTP/1.1\nHost: h\nContent-Length: 5\n\nhello"+get("/y"))
+		for _, want := range []string{"/x", "/y"} {
+			_, body := receive(t, br)
+			require.Equal(t, want, body)
+		}
+	})
+}
+
+// Guards against a first byte that is not counted, so that heads above the limit
+// pass, and against a connection that lives longer than its idle time.
+func TestLimitsHoldWithoutABuffer(t *testing.T) {
+	h := newFake()
+	run(t, h, func(_ *Server, c net.Conn, br *bufio.Reader) {
+		time.Sleep(2 * bufferIdle)
+		send(c, "GET / HTTP/1.1\nHost: h\nX: "+strings.Repeat("x", 2048)+"\n\n")
+		r, _ := receive(t, br)
+		require.Equal(t, 431, r.StatusCode)
+	})
+	run(t, h, func(_ *Server, c net.Conn, br *bufio.Reader) {
+		begin := time.Now()
+		send(c, get("/"))
+		receive(t, br)
+		_, err := br.ReadByte()
+		require.Error(t, err)
+		require.Equal(t, h.limits.IdleTimeout+idleMargin, time.Since(begin))
+	})
+}
