--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -165,8 +165,10 @@
 	started time.Duration
 	roster  []string
 	regions map[string]string
-	asked   map[string]time.Duration
-	seq     uint64
+	// regionSize is the number of VMs of each region.
+	regionSize map[string]int
+	asked      map[string]time.Duration
+	seq        uint64
 	// reports are the newest ones of this VM, by number.
 	reports map[uint64]sentReport
 	members map[string]*member
@@ -211,7 +213,7 @@
 		self: self, born: born, started: now, reports: make(map[uint64]sentReport),
 		members: make(map[string]*member), pulses: make(map[string]*pulse), regions: make(map[string]string),
 		asked: make(map[string]time.Duration), counters: make(map[counterKey]string),
-		bundles: make(map[string]*heardBundle), bundled: make(map[uint64]map[string]Presence),
+		regionSize: make(map[string]int), bundles: make(map[string]*heardBundle), bundled: make(map[uint64]map[string]Presence),
 	}
 }
 
@@ -226,9 +228,11 @@
 	clear(m.counters)
 	present := make(map[string]bool, len(roster))
 	clear(m.regions)
+	clear(m.regionSize)
 	for _, vm := range roster {
 		m.roster = append(m.roster, vm.Name)
 		m.regions[vm.Name] = vm.Region
+		m.regionSize[vm.Region]++
 		present[vm.Name] = true
 	}
 	for vm := range m.members {
--- a/core/exchange/groups.go
+++ b/core/exchange/groups.go
@@ -49,22 +49,31 @@
 
 func (m *Machine) grouped() bool { return len(m.roster) > ungrouped }
 
-// groups returns the number of groups, a power of two so that few VMs change
-// their group when the fleet grows.
-func (m *Machine) groups() uint64 {
+// groupKey names a group: VMs of one region, so that most messages stay in it.
+type groupKey struct {
+	region string
+	part   uint64
+}
+
+// parts returns the number of groups of a region, a power of two so that few VMs
+// change their group when the fleet grows.
+func (m *Machine) parts(region string) uint64 {
 	n := uint64(1)
-	for uint64(len(m.roster)) > n*groupSize {
+	for uint64(m.regionSize[region]) > n*groupSize {
 		n *= 2
 	}
 	return n
 }
 
-func (m *Machine) groupOf(vm string) uint64 { return xxhash.Sum64String(vm) & (m.groups() - 1) }
+func (m *Machine) groupOf(vm string) groupKey {
+	region := m.regions[vm]
+	return groupKey{region, xxhash.Sum64String(vm) & (m.parts(region) - 1)}
+}
 
 // leaders returns the first VM of each group that is not known to be silent and
 // is no hub: hubs do not bundle, so that the other hub would not hear of the
 // group.
-func (m *Machine) leaders(d Digest) map[uint64]string {
+func (m *Machine) leaders(d Digest) map[groupKey]string {
 	skip := make(map[string]bool, len(d.Silent)+hubCount)
 	for _, vm := range d.Silent {
 		skip[vm] = true
@@ -72,7 +81,7 @@
 	for _, vm := range m.firstLive(d) {
 		skip[vm] = true
 	}
-	out := make(map[uint64]string)
+	out := make(map[groupKey]string)
 	for _, vm := range m.roster {
 		if g := m.groupOf(vm); out[g] == "" && !skip[vm] {
 			out[g] = vm
