platform/adapter: calls apart from reads and writes; sample deployment in the stand-in

Cause: reading the folder as a newcomer: store.go held the client's transport, the sorting of failures and the wire of rows; measure/overhead knew names of the platform.

--- a/measure/overhead/overhead.go
+++ b/measure/overhead/overhead.go
@@ -28,6 +28,7 @@
 	"github.com/cassiawind/cassiawind/entry/server"
 	peerv1 "github.com/cassiawind/cassiawind/peerapi/peer/v1"
 	"github.com/cassiawind/cassiawind/platform/memory"
+	"github.com/cassiawind/cassiawind/standin/platformstore"
 )
 
 const (
@@ -176,7 +177,7 @@
 			return errors.WithStack(err)
 		}
 		req.Header.Set("Authorization", "Bearer "+key)
-		req.Header.Set("X-Attempt-Id", "attempt-1")
+		platformstore.SampleAttempt(req.Header)
 		started := time.Now()
 		resp, err := transport.RoundTrip(req)
 		if err != nil {
@@ -221,8 +222,7 @@
 			io.WriteString(w, `{"state":"serving","slots":1000,"in_flight":0}`)
 			return
 		}
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Instance-Id", serverID)
+		platformstore.SampleAnswer(w.Header(), r)
 		w.Write(body)
 	})
 }
