soak: the test of plans expects the kinds of faults on links too

Cause: the commit that added faults of links left TestPlanFollowsTheSeed red: it counted the kinds of the main plan. It now wants each kind of both lists, so that it is as strict as before.

--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -37,7 +37,7 @@
 			seen[e.Kind] = true
 		}
 	}
-	require.Len(t, seen, len(kinds), "every kind of fault is drawn")
+	require.Len(t, seen, len(kinds)+len(linkKinds), "every kind of fault is drawn")
 }
 
 // checked returns what the checks find in a made-up history.
