--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -521,9 +521,6 @@
 	}
 	s.inflight = max(0, s.inflight-1)
 	s.fade(now)
-	if result == Succeeded || result == Failed || result == Shed {
-		s.heard = now
-	}
 	switch result {
 	case Succeeded:
 		s.failures = 0
@@ -622,7 +619,7 @@
 	if s == nil || !s.suspect {
 		return
 	}
-	s.suspect, s.suspendedUntil, s.heard = false, now, now
+	s.suspect, s.suspendedUntil = false, now
 	s.coldUntil = max(s.coldUntil, now+cold)
 	if g := p.groups[s.told.Service]; g != nil && s.isCold(now) {
 		p.assignColdServer(now, g, s)
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -63,17 +63,13 @@
 	cold      ratelimit.Bucket
 	coldOwner bool
 	warm      map[uint64]time.Duration
-	// heard is when the server last answered anything, doubtedAt when it was
-	// last probed because it seemed silent.
-	heard, doubtedAt time.Duration
-	doubted          bool
 	// usedSince is when this VM first used the server.
 	used      bool
 	usedSince time.Duration
 }
 
 func newServer(told *steering.Server) *server {
-	return &server{told: told, hash: hashString(told.ID), slow: 1, coldUntil: told.ColdUntil, heard: -1}
+	return &server{told: told, hash: hashString(told.ID), slow: 1, coldUntil: told.ColdUntil}
 }
 
 // fade lets marks fade to now.
@@ -102,7 +98,6 @@
 }
 
 func (s *server) report(now time.Duration, running, waiting int) {
-	s.heard = now
 	seen := max(0, float64(running+waiting-s.inflight))
 	current := s.load(now) - float64(s.inflight)
 	s.others = current + (seen-current)*othersWeight
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -107,8 +107,6 @@
 	splits   map[string]*placement.Split
 	demand   *demand.Meter
 	lines    *eventlog.Limiter
-	// waits are the exchanges under way that may be repeated, by server.
-	waits map[string]map[*silentWait]bool
 }
 
 // New returns a node that does not run yet.
@@ -131,7 +129,6 @@
 		budgets: make(map[string]*retrybudget.Budget),
 		flows:   make(map[string]*regionflow.Flow), splits: make(map[string]*placement.Split),
 		demand: demand.New(), lines: eventlog.NewLimiter(), regions: regionsOf(settings), demanded: make(map[string]bool),
-		waits: make(map[string]map[*silentWait]bool),
 	}
 	n.bounds.Store(&settings.Bounds)
 	options := DefaultOptions()
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/cassiawind/cassiawind/core/catalog"
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
@@ -101,9 +99,6 @@
 	failed   int
 	// mayHaveRun is set once the outcome of a send is unknown.
 	mayHaveRun bool
-	// silent is set once a server that had the request turned out to answer
-	// nothing.
-	silent bool
 	// last is the newest failure answer of a backend server.
 	last   *upstream.Answer
 	reason string
@@ -315,14 +310,7 @@
 		// A caller that leaves does not undo what has begun.
 		ctx = context.WithoutCancel(ctx)
 	}
-	exchange := ctx
-	if r.route.Idempotent {
-		var cancel context.CancelCauseFunc
-		exchange, cancel = context.WithCancelCause(ctx)
-		defer cancel(nil)
-		defer n.watchSilence(ctx, choice, cancel)()
-	}
-	got, trace, err := n.pool.Do(exchange, r.call(choice))
+	got, trace, err := n.pool.Do(ctx, r.call(choice))
 	elapsed := time.Since(begin)
 	if trace.Sent {
 		r.sent++
@@ -330,13 +318,6 @@
 		r.failed++
 	}
 	result := resultOf(got, err)
-	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(exchange), errSilent) {
-		result = placement.Mute
-		if !notSent(err) {
-			r.silent = true
-			err = &upstream.ExchangeError{Kind: upstream.ErrCancelled, Cause: errSilent}
-		}
-	}
 	r.learn(choice, got, trace, result, elapsed)
 	cause := ""
 	if err != nil {
@@ -457,8 +438,6 @@
 	case r.last != nil:
 		r.reason += "; " + string(choice.Reason)
 		return r.pass(r.last)
-	case r.silent:
-		return r.reject(http.StatusGatewayTimeout, 0, r.reason+"; "+string(choice.Reason))
 	case r.mayHaveRun:
 		return r.reject(http.StatusBadGateway, 0, r.reason+"; "+string(choice.Reason))
 	default:
--- a/entry/gateway/serve_test.go
+++ b/entry/gateway/serve_test.go
@@ -308,59 +308,6 @@
 	})
 }
 
-// Guards against look-ups that wait for a server which vanished as long as their
-// callers do, against a booking that is sent again for that, and against giving
-// up on a server that is slow but answers its probe.
-func TestSilentServer(t *testing.T) {
-	var silent atomic.Value
-	silent.Store("")
-	var slow atomic.Bool
-	b := &backends{serve: make(map[string]func(*http.Request) string)}
-	for _, id := range []string{"s1", "s2", "far"} {
-		b.serve[id] = func(r *http.Request) string {
-			health := r.URL.Path == "/health"
-			switch {
-			case health && silent.Load() != id:
-				return "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
-			case silent.Load() == "" && !health:
-				silent.Store(id)
-				return mute
-			case silent.Load() == id:
-				return mute
-			case slow.Load():
-				time.Sleep(1300 * time.Millisecond)
-			}
-			return answering(200, "ok")(r)
-		}
-	}
-	run(t, b, configuration(), func(n *Node, serve func(*ingress.Request) *ingress.Answer) {
-		begin := time.Now()
-		require.Equal(t, 200, serve(request0("GET", "/look/")).Status)
-		require.Less(t, time.Since(begin), time.Second)
-		begin = time.Now()
-		require.Equal(t, 200, serve(request0("GET", "/look/")).Status)
-		require.Zero(t, time.Since(begin), "the server is known to be silent")
-
-		slow.Store(true)
-		sent := len(b.seen())
-		require.Equal(t, 200, serve(request0("GET", "/look/")).Status)
-		var looks int
-		for _, line := range b.seen()[sent:] {
-			if strings.HasSuffix(line, "/look/") {
-				looks++
-			}
-		}
-		require.Equal(t, 1, looks, "a slow server keeps its request")
-	})
-	silent.Store("")
-	slow.Store(false)
-	run(t, b, configuration(), func(_ *Node, serve func(*ingress.Request) *ingress.Answer) {
-		sent := len(b.seen())
-		require.Equal(t, 504, serve(request0("POST", "/book/")).Status)
-		require.Len(t, b.seen()[sent:], 1)
-	})
-}
-
 // Guards against holding a request beyond its route's time-out.
 func TestTimeOut(t *testing.T) {
 	run(t, &backends{serve: every(always(mute))}, configuration(), func(_ *Node, serve func(*ingress.Request) *ingress.Answer) {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -46,8 +46,6 @@
 	Attempt string
 	// Idempotent requests may use connections that were idle for longer.
 	Idempotent bool
-	// Fresh requests use a new connection.
-	Fresh bool
 	// Deadline is when the answer must be there.
 	Deadline time.Time
 }
@@ -97,10 +95,8 @@
 }
 
 func (p *Pool) connection(ctx context.Context, call *Call, trace *Trace) (*conn, error) {
-	if !call.Fresh {
-		if c := p.take(call.Server, call.Idempotent); c != nil {
-			return c, nil
-		}
+	if c := p.take(call.Server, call.Idempotent); c != nil {
+		return c, nil
 	}
 	begin := time.Now()
 	limit := begin.Add(connectTimeout)
