--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -9,6 +9,9 @@
 // sound. Messages grow with the number of VMs, not with its square, and the
 // calls to the store not at all.
 //
+// Fleets of more than ungrouped VMs put leaders of groups between the hubs and
+// the others (groups.go).
+//
 // Any VM may be a hub; nothing is elected. If VMs differ about who is, some
 // read the store that need not, and the tolerance of the rates covers differing
 // digests. A VM that hears no digest uses an equal part, which the hub keeps
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -14,7 +14,8 @@
 // maxDatagramBytes is the largest datagram.
 const maxDatagramBytes = 64 << 10
 
-// datagram is one message between VMs; one field is set.
+// datagram is one message between VMs. Fields that go to the same VM at once
+// share a datagram.
 type datagram struct {
 	Report *exchange.Report `json:"report,omitempty"`
 	Bundle *exchange.Bundle `json:"bundle,omitempty"`
--- a/standin/soak/doc.go
+++ b/standin/soak/doc.go
@@ -14,5 +14,7 @@
 //
 // The gateways are processes of their own; the stand-ins run in the driver,
 // which sees both ends. Each gateway reaches the store through a proxy of its
-// own, which can refuse, reset or silence it.
+// own, which can refuse, reset or silence it; all reach each backend server
+// through one, which can also hold back its answers. Links between gateways and
+// from callers are not disturbed; the time of day is read for log lines only.
 package soak
