exchange, gateway: sums, groups and decoded entries each computed in one place

From the read-through; behaviour stays as it is. Digests and Bundle added up demand, work and pinned work each for themselves: totals does it. Groups were hashed for the whole roster on each report and pulse: they are computed with the roster. The rows of servers and VMs were decoded by two copies of a loop: changesOf. Node.vms was derived from the roster, and Node.forwards carried a result past handle: both fields are gone. hop.Header was called by its test only; the test asserts the same of Remove. Choice.better replaces a long condition.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -168,10 +168,10 @@
 	started time.Duration
 	roster  []string
 	regions map[string]string
-	// regionSize is the number of VMs of each region.
-	regionSize map[string]int
-	asked      map[string]time.Duration
-	seq        uint64
+	// groups are those of the VMs of the roster.
+	groups map[string]groupKey
+	asked  map[string]time.Duration
+	seq    uint64
 	// reports are the newest ones of this VM, by number.
 	reports map[uint64]sentReport
 	members map[string]*member
@@ -216,7 +216,7 @@
 		self: self, born: born, started: now, reports: make(map[uint64]sentReport),
 		members: make(map[string]*member), pulses: make(map[string]*pulse), regions: make(map[string]string),
 		asked: make(map[string]time.Duration), counters: make(map[counterKey]string),
-		regionSize: make(map[string]int), bundles: make(map[string]*heardBundle), bundled: make(map[uint64]map[string]Presence),
+		groups: make(map[string]groupKey), bundles: make(map[string]*heardBundle), bundled: make(map[uint64]map[string]Presence),
 	}
 }
 
@@ -231,13 +231,12 @@
 	clear(m.counters)
 	present := make(map[string]bool, len(roster))
 	clear(m.regions)
-	clear(m.regionSize)
 	for _, vm := range roster {
 		m.roster = append(m.roster, vm.Name)
 		m.regions[vm.Name] = vm.Region
-		m.regionSize[vm.Region]++
 		present[vm.Name] = true
 	}
+	m.groups = groupsOf(roster)
 	for vm := range m.members {
 		if !present[vm] {
 			delete(m.members, vm)
@@ -583,9 +582,8 @@
 	if !fresh || !d.Settled || float64(len(d.Silent)) > deafShare*float64(d.Size) {
 		return nil, false
 	}
-	return func(vm string) bool {
-		return !slices.Contains(d.Silent, vm) && !slices.Contains(d.Unready, vm)
-	}, true
+	left := m.left
+	return func(vm string) bool { return !slices.Contains(left, vm) }, true
 }
 
 // Leads reports whether this VM is the hub that sends digests now: it is the
@@ -619,8 +617,8 @@
 	m.seq++
 	base := Digest{
 		Hub: m.self, Born: m.born, Seq: m.seq, Size: m.Size(), Settled: now-m.started > silentAfter,
-		Demand: make(map[string]float64), Work: make(map[string]map[string]float64), Pinned: make(map[string]map[string]float64),
 	}
+	sum := newTotals()
 	digests := make(map[string]Digest, len(m.roster))
 	for _, vm := range m.roster {
 		o := m.members[vm]
@@ -632,23 +630,13 @@
 		if o.report.Unready {
 			base.Unready = append(base.Unready, vm)
 		}
-		add(base.Demand, o.report.Demand)
-		addAll(base.Work, o.report.Region, o.report.Work)
-		for region, work := range o.report.Pinned {
-			addAll(base.Pinned, region, work)
-		}
+		sum.addReport(o.report)
 	}
 	bundles := m.freshBundles(now)
 	for _, b := range bundles {
-		add(base.Demand, b.Demand)
-		for region, work := range b.Work {
-			addAll(base.Work, region, work)
-		}
-		for region, work := range b.Pinned {
-			addAll(base.Pinned, region, work)
-		}
+		sum.addBundle(b.Bundle)
 	}
-	base.Demand, base.Work, base.Pinned = rounded(base.Demand), roundedAll(base.Work), roundedAll(base.Pinned)
+	base.Demand, base.Work, base.Pinned = sum.rounded()
 	for _, vm := range m.roster {
 		if o := m.members[vm]; o != nil && o.via == "" && now-o.heard < silentAfter {
 			d := base
@@ -664,6 +652,39 @@
 	return digests
 }
 
+// totals are what several VMs ask for: requests per second by account, and busy
+// slots by region and service.
+type totals struct {
+	demand       map[string]float64
+	work, pinned map[string]map[string]float64
+}
+
+func newTotals() totals {
+	return totals{make(map[string]float64), make(map[string]map[string]float64), make(map[string]map[string]float64)}
+}
+
+func (t totals) addReport(r Report) {
+	add(t.demand, r.Demand)
+	addAll(t.work, r.Region, r.Work)
+	for region, work := range r.Pinned {
+		addAll(t.pinned, region, work)
+	}
+}
+
+func (t totals) addBundle(b Bundle) {
+	add(t.demand, b.Demand)
+	for region, work := range b.Work {
+		addAll(t.work, region, work)
+	}
+	for region, work := range b.Pinned {
+		addAll(t.pinned, region, work)
+	}
+}
+
+func (t totals) rounded() (demand map[string]float64, work, pinned map[string]map[string]float64) {
+	return rounded(t.demand), roundedAll(t.work), roundedAll(t.pinned)
+}
+
 func addAll(sums map[string]map[string]float64, region string, values map[string]float64) {
 	if sums[region] == nil {
 		sums[region] = make(map[string]float64)
--- a/core/exchange/groups.go
+++ b/core/exchange/groups.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -55,19 +56,25 @@
 	part   uint64
 }
 
-// parts returns the number of groups of a region, a power of two so that few VMs
-// change their group when the fleet grows.
-func (m *Machine) parts(region string) uint64 {
-	n := uint64(1)
-	for uint64(m.regionSize[region]) > n*groupSize {
-		n *= 2
+// groupsOf returns the groups of the VMs of a roster. The number of groups of a
+// region is a power of two, so that few VMs change theirs when the fleet grows.
+func groupsOf(roster []Member) map[string]groupKey {
+	size := make(map[string]int)
+	for _, vm := range roster {
+		size[vm.Region]++
 	}
-	return n
-}
-
-func (m *Machine) groupOf(vm string) groupKey {
-	region := m.regions[vm]
-	return groupKey{region, xxhash.Sum64String(vm) & (m.parts(region) - 1)}
+	parts := make(map[string]uint64, len(size))
+	for region, vms := range size {
+		parts[region] = 1
+		for uint64(vms) > parts[region]*groupSize {
+			parts[region] *= 2
+		}
+	}
+	groups := make(map[string]groupKey, len(roster))
+	for _, vm := range roster {
+		groups[vm.Name] = groupKey{vm.Region, xxhash.Sum64String(vm.Name) & (parts[vm.Region] - 1)}
+	}
+	return groups
 }
 
 // leaders returns the first VM of each group that is not known to be silent and
@@ -83,7 +90,7 @@
 	}
 	out := make(map[groupKey]string)
 	for _, vm := range m.roster {
-		if g := m.groupOf(vm); out[g] == "" && !skip[vm] {
+		if g := m.groups[vm]; out[g] == "" && !skip[vm] {
 			out[g] = vm
 		}
 	}
@@ -98,7 +105,7 @@
 	if !m.grouped() || !fresh || !digest.Settled || slices.Contains(hubs, m.self) {
 		return hubs
 	}
-	if leader := m.leaders(digest)[m.groupOf(m.self)]; leader != "" {
+	if leader := m.leaders(digest)[m.groups[m.self]]; leader != "" {
 		return []string{leader}
 	}
 	return hubs
@@ -120,7 +127,7 @@
 func (m *Machine) ownGroup(now time.Duration) map[string]*member {
 	out := m.direct(now)
 	for vm := range out {
-		if m.groupOf(vm) != m.groupOf(m.self) {
+		if m.groups[vm] != m.groups[m.self] {
 			delete(out, vm)
 		}
 	}
@@ -140,17 +147,13 @@
 	m.seq++
 	b = Bundle{
 		Leader: m.self, Born: m.born, Seq: m.seq, VMs: make(map[string]Presence, len(group)),
-		Demand: make(map[string]float64), Work: make(map[string]map[string]float64), Pinned: make(map[string]map[string]float64),
 	}
+	sum := newTotals()
 	for vm, o := range group {
 		b.VMs[vm] = Presence{Born: o.report.Born, Seq: o.report.Seq, Unready: o.report.Unready}
-		add(b.Demand, o.report.Demand)
-		addAll(b.Work, o.report.Region, o.report.Work)
-		for region, work := range o.report.Pinned {
-			addAll(b.Pinned, region, work)
-		}
+		sum.addReport(o.report)
 	}
-	b.Demand, b.Work, b.Pinned = rounded(b.Demand), roundedAll(b.Work), roundedAll(b.Pinned)
+	b.Demand, b.Work, b.Pinned = sum.rounded()
 	m.bundled[b.Seq] = b.VMs
 	for seq := range m.bundled {
 		if seq+4*keptReports < m.seq {
@@ -246,12 +249,7 @@
 		to[vm] = true
 	}
 	delete(to, m.self)
-	out := make([]string, 0, len(to))
-	for vm := range to {
-		out = append(out, vm)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(to))
 }
 
 // relays reports whether other VMs hear from this one what a hub holds.
--- a/core/exchange/groups_test.go
+++ b/core/exchange/groups_test.go
@@ -51,7 +51,7 @@
 func (f *fleet) plainMember() string {
 	for _, name := range f.names() {
 		m := f.machines[name]
-		if !f.dead[name] && !m.IsHub(f.now) && f.leadersOf(name)[m.groupOf(name)] != name {
+		if !f.dead[name] && !m.IsHub(f.now) && f.leadersOf(name)[m.groups[name]] != name {
 			return name
 		}
 	}
@@ -132,7 +132,7 @@
 func TestLeaderOfAGroupFails(t *testing.T) {
 	f := newLargeFleet(t)
 	member := f.plainMember()
-	group := f.machines[member].groupOf(member)
+	group := f.machines[member].groups[member]
 	leader := f.leadersOf(member)[group]
 	f.dead[leader] = true
 	for range 24 {
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -310,14 +310,22 @@
 		if region == r.Region {
 			continue
 		}
-		c := p.best(now, g, r, region)
-		if c.Server != nil && (other.Server == nil || c.Expected < other.Expected) || other.Server == nil && other.Reason == "" {
+		if c := p.best(now, g, r, region); c.better(other) {
 			other = c
 		}
 	}
 	return other
 }
 
+// better reports whether a choice is preferred to another: one with a server, the
+// one that answers sooner, or the one that tells why there is none.
+func (c Choice) better(other Choice) bool {
+	if c.Server == nil {
+		return other.Server == nil && other.Reason == ""
+	}
+	return other.Server == nil || c.Expected < other.Expected
+}
+
 // judge returns why a choice is not good enough; empty if it is.
 func (p *Picker) judge(r *Request, c Choice) Reason {
 	switch {
--- a/entry/gateway/beliefs.go
+++ b/entry/gateway/beliefs.go
@@ -51,7 +51,7 @@
 		}
 	}
 	if b := n.budgets[service]; b != nil {
-		n.metrics.Gauge(math.Max(0, b.Left(now, n.vms)), "retries_left", service)
+		n.metrics.Gauge(math.Max(0, b.Left(now, n.peers.Size())), "retries_left", service)
 	}
 }
 
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -88,9 +88,6 @@
 	catalog *catalog.Catalog
 	picker  *placement.Picker
 	peers   *exchange.Machine
-	vms     int
-	// forwards are digests that this VM is to hand on to its group.
-	forwards map[string]datagram
 	// buckets are those of the accounts that this VM counts for its region,
 	// reserves are used where the VM that counts does not answer.
 	buckets, reserves map[string]*ratelimit.Bucket
@@ -123,7 +120,7 @@
 		failures: make(chan error, 1), relay: newRelayClient(), mirrors: newMirrors(),
 		relayWake: make(chan struct{}, 1), pulseWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
-		peers: exchange.New(settings.VM, born, 0), vms: 1,
+		peers:   exchange.New(settings.VM, born, 0),
 		buckets: make(map[string]*ratelimit.Bucket), reserves: make(map[string]*ratelimit.Bucket),
 		wallets: make(map[string]*ratelimit.Wallet), counters: make(map[string]string), grants: make(map[uint64]chan grant),
 		budgets: make(map[string]*retrybudget.Budget),
@@ -324,7 +321,6 @@
 		n.entrySeen.Store(true)
 	}
 	n.peers.SetRoster(roster)
-	n.vms = n.peers.Size()
 	n.picker.SetVMs(now, sortedKeys(view.VMs))
 	n.setRates(now, view)
 }
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/placement"
@@ -10,6 +12,21 @@
 func notSent(err error) bool  { return errors.Is(err, upstream.ErrNotSent) }
 func timedOut(err error) bool { return errors.Is(err, upstream.ErrTimeout) }
 
+func resultOf(got *upstream.Answer, err error) placement.Result {
+	switch {
+	case err != nil:
+		return resultOfError(err)
+	case got.Status == http.StatusMisdirectedRequest:
+		return placement.Misdirected
+	case got.Told.NotRun:
+		return placement.Shed
+	case got.Status >= http.StatusInternalServerError:
+		return placement.Failed
+	default:
+		return placement.Succeeded
+	}
+}
+
 func resultOfError(err error) placement.Result {
 	switch {
 	case errors.Is(err, upstream.ErrCancelled):
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -44,27 +44,36 @@
 			continue
 		}
 		n.mu.Lock()
-		reply, to := n.handle(n.now(), d)
-		forwards := n.forwards
-		n.forwards = nil
+		out := n.handle(n.now(), d)
 		n.mu.Unlock()
-		if len(forwards) > 0 {
+		if len(out.forwards) > 0 {
 			view := n.view.Load()
 			// Half an interval, so that a digest is handed on before the next.
-			go n.spread(ctx, view, forwards, exchange.Interval(len(view.VMs))/2)
+			go n.spread(ctx, view, out.forwards, exchange.Interval(len(view.VMs))/2)
 		}
-		if to != "" {
-			n.send(to, reply)
+		if out.to != "" {
+			n.send(out.to, out.reply)
 		}
 	}
 }
 
-// handle takes one message and returns the reply to it, if there is one; the
-// caller holds mu.
-func (n *Node) handle(now time.Duration, d datagram) (reply datagram, to string) {
+// outgoing is what a message makes this VM send.
+type outgoing struct {
+	// reply goes to an address; empty without one.
+	reply datagram
+	to    string
+	// forwards go to VMs of this one's group.
+	forwards map[string]datagram
+}
+
+// handle takes one message and returns what is to be sent for it; the caller
+// holds mu.
+func (n *Node) handle(now time.Duration, d datagram) outgoing {
 	if d.Take != nil {
-		return n.handleTake(now, *d.Take)
+		reply, to := n.handleTake(now, *d.Take)
+		return outgoing{reply: reply, to: to}
 	}
+	var out outgoing
 	if d.Grant != nil {
 		n.handleGrant(*d.Grant)
 	}
@@ -79,17 +88,17 @@
 		wake(n.relayWake)
 	}
 	if d.Digest != nil {
-		for vm, digest := range n.peers.HandleDigest(now, *d.Digest) {
-			if n.forwards == nil {
-				n.forwards = make(map[string]datagram)
+		if digests := n.peers.HandleDigest(now, *d.Digest); len(digests) > 0 {
+			out.forwards = make(map[string]datagram, len(digests))
+			for vm, digest := range digests {
+				out.forwards[vm] = datagram{Digest: &digest}
 			}
-			n.forwards[vm] = datagram{Digest: &digest}
 		}
 		if view := n.view.Load(); view.Config != nil {
 			n.setRates(now, view)
 		}
 	}
-	return datagram{}, ""
+	return out
 }
 
 // exchangeLoop reports to the hubs, and answers the other VMs as a hub.
@@ -119,7 +128,7 @@
 		}
 		for vm, digest := range n.leadDigests(now) {
 			if vm == n.settings.VM {
-				_, _ = n.handle(now, datagram{Digest: &digest})
+				n.handle(now, datagram{Digest: &digest})
 				continue
 			}
 			d := out[vm]
--- a/entry/gateway/serve.go
+++ b/entry/gateway/serve.go
@@ -276,7 +276,7 @@
 	if choice.Server == nil {
 		return choice, false
 	}
-	if r.sent > 0 && !n.budget(r.place.Service).Take(now, n.vms) {
+	if r.sent > 0 && !n.budget(r.place.Service).Take(now, n.peers.Size()) {
 		choice.Server, choice.Reason, choice.RetryAfter = nil, "retry budget used", retryAfterShed
 		return choice, false
 	}
@@ -350,21 +350,6 @@
 	}
 }
 
-func resultOf(got *upstream.Answer, err error) placement.Result {
-	switch {
-	case err != nil:
-		return resultOfError(err)
-	case got.Status == http.StatusMisdirectedRequest:
-		return placement.Misdirected
-	case got.Told.NotRun:
-		return placement.Shed
-	case got.Status >= http.StatusInternalServerError:
-		return placement.Failed
-	default:
-		return placement.Succeeded
-	}
-}
-
 func (r *request) call(choice placement.Choice) *upstream.Call {
 	left := time.Until(r.deadline)
 	header := make(http.Header, len(r.in.Header)+4)
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -271,22 +271,30 @@
 	}
 }
 
-func (n *Node) serversWatcher() *watcher {
-	decode := func(now time.Duration, rows []adapter.Row) []catalog.Change[steering.Server] {
-		changes := make([]catalog.Change[steering.Server], 0, len(rows))
-		for _, row := range rows {
-			change := catalog.Change[steering.Server]{Key: row.Key, Version: row.Version}
-			if !row.Deleted {
-				server, err := adapter.DecodeServer(row.Key, row.Value, n.settings.RegionOf, now)
-				if err != nil {
-					change.Unreadable = true
-					n.log.Info("backend server entry cannot be read", "server", row.Key, "version", row.Version, "error", err.Error())
-				}
-				change.Value = server
+// changesOf decodes rows of entries. One that cannot be read is logged, with its
+// key as the named field, and marked, so that what is known of it stays.
+func changesOf[T any](n *Node, unreadable, field string, rows []adapter.Row, decode func(adapter.Row) (*T, error)) []catalog.Change[T] {
+	changes := make([]catalog.Change[T], 0, len(rows))
+	for _, row := range rows {
+		change := catalog.Change[T]{Key: row.Key, Version: row.Version}
+		if !row.Deleted {
+			value, err := decode(row)
+			if err != nil {
+				change.Unreadable = true
+				n.log.Info(unreadable, field, row.Key, "version", row.Version, "error", err.Error())
 			}
-			changes = append(changes, change)
+			change.Value = value
 		}
-		return changes
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+func (n *Node) serversWatcher() *watcher {
+	decode := func(now time.Duration, rows []adapter.Row) []catalog.Change[steering.Server] {
+		return changesOf(n, "backend server entry cannot be read", "server", rows, func(row adapter.Row) (*steering.Server, error) {
+			return adapter.DecodeServer(row.Key, row.Value, n.settings.RegionOf, now)
+		})
 	}
 	return &watcher{
 		table: adapter.TableServers, pause: entryPause, wait: entryWait, slack: entrySlack,
@@ -351,31 +359,19 @@
 	}, nil
 }
 
-func decodeVMs(n *Node, rows []adapter.Row) []catalog.Change[steering.VM] {
-	changes := make([]catalog.Change[steering.VM], 0, len(rows))
-	for _, row := range rows {
-		change := catalog.Change[steering.VM]{Key: row.Key, Version: row.Version}
-		if !row.Deleted {
-			vm, err := DecodeVM(row.Key, row.Value)
-			if err != nil {
-				change.Unreadable = true
-				n.log.Info("VM entry cannot be read", "vm", row.Key, "version", row.Version, "error", err.Error())
-			}
-			change.Value = vm
-		}
-		changes = append(changes, change)
-	}
-	return changes
-}
-
 func (n *Node) vmsWatcher() *watcher {
+	decode := func(rows []adapter.Row) []catalog.Change[steering.VM] {
+		return changesOf(n, "VM entry cannot be read", "vm", rows, func(row adapter.Row) (*steering.VM, error) {
+			return DecodeVM(row.Key, row.Value)
+		})
+	}
 	return &watcher{
 		table: adapter.TableVMs, pause: entryPause, wait: entryWait, slack: entrySlack,
 		load: func(now time.Duration, rows adapter.Rows) bool {
-			return n.catalog.LoadVMs(rows.Version, decodeVMs(n, rows.Rows))
+			return n.catalog.LoadVMs(rows.Version, decode(rows.Rows))
 		},
 		apply: func(now time.Duration, rows []adapter.Row) {
-			for _, change := range decodeVMs(n, rows) {
+			for _, change := range decode(rows) {
 				if n.catalog.ApplyVM(change) {
 					n.log.Info("VM changed", "vm", change.Key, "gone", change.Value == nil, "version", change.Version)
 				}
--- a/entry/hop/hop.go
+++ b/entry/hop/hop.go
@@ -27,7 +27,3 @@
 		delete(h, name)
 	}
 }
-
-// Header reports whether a header in canonical form concerns one connection
-// only, whatever the Connection header lists.
-func Header(name string) bool { return names[name] }
--- a/entry/hop/hop_test.go
+++ b/entry/hop/hop_test.go
@@ -15,9 +15,8 @@
 	h := http.Header{
 		"Connection": {"close, X-Private", " Keep-Alive ,, Upgrade"}, "X-Private": {"1"}, "Keep-Alive": {"5"},
 		"Transfer-Encoding": {"chunked"}, "Te": {"trailers"}, "Upgrade": {"h2c"}, "X-Kept": {"1"}, "Content-Type": {"a/b"},
+		"Proxy-Connection": {"close"}, "Content-Length": {"2"},
 	}
 	hop.Remove(h)
-	require.Equal(t, http.Header{"X-Kept": {"1"}, "Content-Type": {"a/b"}}, h)
-	require.True(t, hop.Header("Proxy-Connection"))
-	require.False(t, hop.Header("Content-Length"))
+	require.Equal(t, http.Header{"X-Kept": {"1"}, "Content-Type": {"a/b"}, "Content-Length": {"2"}}, h)
 }
