standin: losses of writes and cuts of connections in one place

platformstore used up losses with a copy of what platform/memory does: both call Faults.NextWrite. The soak cut the store and the links by two functions of the same shape: cut takes the proxies.

--- a/standin/platformstore/store.go
+++ b/standin/platformstore/store.go
@@ -159,19 +159,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	f := s.faults
-	if !write {
-		f.LoseAnswers, f.LoseRequests = 0, 0
-		return f
-	}
-	switch {
-	case f.Down || f.Silent:
-	case f.LoseRequests > 0:
-		s.faults.LoseRequests--
-		f.LoseAnswers = 0
-	case f.LoseAnswers > 0:
-		s.faults.LoseAnswers--
+	if write {
+		return s.faults.NextWrite()
 	}
+	f := s.faults
+	f.LoseAnswers, f.LoseRequests = 0, 0
 	return f
 }
 
--- a/standin/soak/world.go
+++ b/standin/soak/world.go
@@ -398,9 +398,13 @@
 	case Reload:
 		w.nodes[e.Target].signal(syscall.SIGHUP)
 	case StoreCut, StoreSilent, StoreReset:
-		w.cut(e)
+		proxies := w.proxies
+		if e.Target >= 0 {
+			proxies = proxies[e.Target : e.Target+1]
+		}
+		cut(e, proxies)
 	case LinkCut, LinkSilent, LinkOneWay, LinkForgets:
-		w.cutLink(e)
+		cut(e, []*proxy{w.backs[e.Target].link})
 	case StoreBusy, StoreSlow, StoreLoses:
 		w.store.SetFaults(storeFaults(e.Kind))
 		time.Sleep(e.For)
@@ -419,27 +423,21 @@
 	}
 }
 
-func (w *world) cut(e Event) {
-	mode := map[Kind]proxyMode{StoreCut: refuse, StoreSilent: silence, StoreReset: forgetOpen}[e.Kind]
-	for i, p := range w.proxies {
-		if e.Target < 0 || e.Target == i {
-			p.set(mode)
-		}
-	}
-	time.Sleep(e.For)
-	for i, p := range w.proxies {
-		if e.Target < 0 || e.Target == i {
-			p.set(pass)
-		}
-	}
+// modes are what proxies do while an event lasts.
+var modes = map[Kind]proxyMode{
+	StoreCut: refuse, StoreSilent: silence, StoreReset: forgetOpen,
+	LinkCut: refuse, LinkSilent: silence, LinkOneWay: oneWay, LinkForgets: forgetOpen,
 }
 
-// cutLink disturbs the connections between the gateways and a backend server.
-func (w *world) cutLink(e Event) {
-	link := w.backs[e.Target].link
-	link.set(map[Kind]proxyMode{LinkCut: refuse, LinkSilent: silence, LinkOneWay: oneWay, LinkForgets: forgetOpen}[e.Kind])
+// cut disturbs the connections of some proxies.
+func cut(e Event, proxies []*proxy) {
+	for _, p := range proxies {
+		p.set(modes[e.Kind])
+	}
 	time.Sleep(e.For)
-	link.set(pass)
+	for _, p := range proxies {
+		p.set(pass)
+	}
 }
 
 func (w *world) disturbServers(e Event) {
