measure: one model of the messages between VMs; no zeroed errors in overhead

steersim had the roster, the reports and the digests twice, in the worlds of placement and of rates: peers serves both, and slices.Contains replaces a copy of it.

--- a/measure/overhead/gateway.go
+++ b/measure/overhead/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -28,31 +27,26 @@
 	if err != nil {
 		return "", err
 	}
-	settings, err := adapter.ParseSettings(platformstore.SampleSettings(addresses[0], addresses[1], portOf(addresses[2]), portOf(addresses[3]), storeAddress))
+	settings, err := adapter.ParseSettings(platformstore.SampleSettings(addresses[0].String(), addresses[1].String(), addresses[2].Port, addresses[3].Port, storeAddress))
 	if err != nil {
 		return "", err
 	}
 	stop := make(chan struct{})
 	context.AfterFunc(ctx, func() { close(stop) })
 	go gateway.New(settings, logr.Discard()).Run(ctx, stop)
-	return addresses[0], waitReady(ctx, addresses[1], adapter.PathReady)
+	return addresses[0].String(), waitReady(ctx, addresses[1].String(), adapter.PathReady)
 }
 
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, n)
+// freeAddresses returns loopback addresses that nobody listens at.
+func freeAddresses(n int) ([]*net.TCPAddr, error) {
+	addresses := make([]*net.TCPAddr, n)
 	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		addresses[i] = l.Addr().String()
+		addresses[i] = l.Addr().(*net.TCPAddr)
 		l.Close()
 	}
 	return addresses, nil
 }
-
-func portOf(address string) int {
-	_, port, _ := net.SplitHostPort(address)
-	n, _ := strconv.Atoi(port)
-	return n
-}
--- a/measure/overhead/overhead.go
+++ b/measure/overhead/overhead.go
@@ -258,11 +258,12 @@
 		return "", err
 	}
 	settings := declare.Settings{
-		VM: "vm1", Region: "r1", FailureDomain: "d1", CallerAddress: addresses[0], PeerAddress: addresses[1], OperatorAddress: addresses[2],
+		VM: "vm1", Region: "r1", FailureDomain: "d1",
+		CallerAddress: addresses[0].String(), PeerAddress: addresses[1].String(), OperatorAddress: addresses[2].String(),
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10, LookupValidityMS: 5000, StopTimeoutMS: 60000,
 	}
 	go server.New(ctx, settings, platform, "overhead", logr.Discard()).Run(ctx, make(chan struct{}))
-	return addresses[0], waitReady(ctx, addresses[2], "/ready")
+	return addresses[0].String(), waitReady(ctx, addresses[2].String(), "/ready")
 }
 
 func waitReady(ctx context.Context, address, path string) error {
--- a/measure/steersim/policy.go
+++ b/measure/steersim/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/placement"
@@ -119,7 +120,7 @@
 	looked := 0
 	for _, i := range c.rnd.Perm(len(c.list)) {
 		server := c.list[i]
-		if contains(r.Tried, server.ID) {
+		if slices.Contains(r.Tried, server.ID) {
 			continue
 		}
 		if best == nil || c.inflight[server.ID] < c.inflight[best.ID] {
@@ -144,15 +145,6 @@
 
 func (c *counting) capacity(time.Duration) map[string]float64 { return nil }
 
-func contains(list []string, s string) bool {
-	for _, e := range list {
-		if e == s {
-			return true
-		}
-	}
-	return false
-}
-
 // maxShiftPerSecond is the bound on shifts in force on the users' deployments
 // (0.15 within 2 s), of which the gateway uses a third.
 const maxShiftPerSecond = 0.15 / 6
--- a/measure/steersim/rates.go
+++ b/measure/steersim/rates.go
@@ -1,12 +1,9 @@
 package steersim
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cassiawind/cassiawind/core/demand"
-	"github.com/cassiawind/cassiawind/core/exchange"
 	"github.com/cassiawind/cassiawind/core/ratelimit"
 	"github.com/cassiawind/cassiawind/measure"
 	"github.com/cassiawind/cassiawind/measure/virtual"
@@ -68,12 +65,8 @@
 }
 
 type rateVM struct {
+	*peer
 	world             *rateWorld
-	name, region      string
-	index             int
-	dead              bool
-	peers             *exchange.Machine
-	meter             *demand.Meter
 	buckets, reserves map[string]*ratelimit.Bucket
 	wallets           map[string]*ratelimit.Wallet
 }
@@ -83,20 +76,13 @@
 		Clock: virtual.New(), site: s, rnd: rand.New(rand.NewPCG(seed, 7)), static: static,
 		passed: make(map[string][]time.Duration), asked: make(map[string]int), wrong: make(map[string]int),
 	}
-	var roster []exchange.Member
-	for index, r := range s.regions {
-		for i := range r.vms {
-			name := fmt.Sprintf("vm-%s-%d", r.name, i)
-			roster = append(roster, exchange.Member{Name: name, Region: r.name, Weight: 1})
-			w.vms = append(w.vms, &rateVM{
-				world: w, name: name, region: r.name, index: index, peers: exchange.New(name, int64(len(roster)), 0), meter: demand.New(),
-				buckets: make(map[string]*ratelimit.Bucket), reserves: make(map[string]*ratelimit.Bucket), wallets: make(map[string]*ratelimit.Wallet),
-			})
-		}
-	}
-	for i, v := range w.vms {
-		v.peers.SetRoster(roster)
-		w.Every(time.Duration(i)*time.Millisecond, exchange.Interval(len(roster)), v.exchange)
+	fleet := newPeers(w.Clock, s)
+	for i, p := range fleet.all {
+		w.vms = append(w.vms, &rateVM{
+			peer: p, world: w, buckets: make(map[string]*ratelimit.Bucket), reserves: make(map[string]*ratelimit.Bucket),
+			wallets: make(map[string]*ratelimit.Wallet),
+		})
+		fleet.talk(p, time.Duration(i)*time.Millisecond)
 	}
 	for _, a := range rateAccounts(len(s.regions)) {
 		for index := range s.regions {
@@ -110,6 +96,7 @@
 	return w
 }
 
+// named returns a VM, nil if there is none of this name.
 func (w *rateWorld) named(name string) *rateVM {
 	for _, v := range w.vms {
 		if v.name == name {
@@ -131,7 +118,7 @@
 	w.After(time.Duration(w.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
 		var alive []*rateVM
 		for _, v := range w.vms {
-			if v.index == region && !v.dead {
+			if v.region == w.site.regions[region].name && !v.dead {
 				alive = append(alive, v)
 			}
 		}
@@ -215,31 +202,6 @@
 	return b
 }
 
-func (v *rateVM) exchange() {
-	w, now := v.world, v.world.Elapsed()
-	if v.dead {
-		return
-	}
-	v.meter.Roll(now)
-	requests, work := v.meter.Report()
-	report := v.peers.Report(now, v.region, requests, work, true)
-	for _, hub := range v.peers.Hubs(now) {
-		to := w.named(hub)
-		w.After(w.site.delay(v.region, to.region), func() {
-			if !to.dead {
-				to.peers.HandleReport(w.Elapsed(), report)
-			}
-		})
-	}
-	if !v.peers.Leads(now) {
-		return
-	}
-	for name, digest := range v.peers.Digests(now) {
-		to := w.named(name)
-		w.After(w.site.delay(v.region, to.region), func() { to.peers.HandleDigest(w.Elapsed(), digest) })
-	}
-}
-
 // count notes a decision about a request.
 func (w *rateWorld) count(a account, passed bool) {
 	if passed {
--- a/measure/steersim/world.go
+++ b/measure/steersim/world.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cassiawind/cassiawind/core/demand"
-	"github.com/cassiawind/cassiawind/core/exchange"
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/regionflow"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
@@ -47,7 +45,7 @@
 	servers map[string]*server
 	order   []*server
 	vms     map[string][]*vm
-	all     []*vm
+	fleet   *peers
 	popular []float64
 	// The counts are by rank.
 	offered, inTime, late, rejected, lost [accounts]int
@@ -58,13 +56,10 @@
 
 // vm is one gateway.
 type vm struct {
+	*peer
 	world   *world
-	name    string
-	region  string
 	chooser chooser
 	flow    regionflow.Flow
-	meter   *demand.Meter
-	peers   *exchange.Machine
 	budget  *retrybudget.Budget
 	known   bool
 }
@@ -97,64 +92,24 @@
 }
 
 func (w *world) addVMs(seed uint64) {
+	w.fleet = newPeers(w.Clock, w.site)
 	var names []string
-	var roster []exchange.Member
-	for _, r := range w.site.regions {
-		for i := range r.vms {
-			name := fmt.Sprintf("vm-%s-%d", r.name, i)
-			names = append(names, name)
-			roster = append(roster, exchange.Member{Name: name, Region: r.name, Weight: 1})
-		}
+	for _, p := range w.fleet.all {
+		names = append(names, p.name)
 	}
-	for i, m := range roster {
-		v := &vm{
-			world: w, name: m.Name, region: m.Region, meter: demand.New(), budget: retrybudget.New(budget),
-			peers: exchange.New(m.Name, int64(i+1), 0),
-		}
+	for i, p := range w.fleet.all {
+		v := &vm{peer: p, world: w, budget: retrybudget.New(budget)}
 		if w.policy.newChooser == nil {
-			v.chooser = newCore(w.site, m.Name, m.Region, names)
+			v.chooser = newCore(w.site, p.name, p.region, names)
 		} else {
-			v.chooser = w.policy.newChooser(w.site, m.Region, rand.New(rand.NewPCG(seed, uint64(1000+i))))
+			v.chooser = w.policy.newChooser(w.site, p.region, rand.New(rand.NewPCG(seed, uint64(1000+i))))
 		}
-		v.peers.SetRoster(roster)
-		w.vms[m.Region] = append(w.vms[m.Region], v)
-		w.all = append(w.all, v)
+		w.vms[p.region] = append(w.vms[p.region], v)
 		// VMs do not tick together.
-		offset := tick * time.Duration(i) / time.Duration(len(roster))
+		offset := tick * time.Duration(i) / time.Duration(len(names))
 		v.step()
 		w.Every(offset, tick, v.step)
-		w.Every(offset, exchange.Interval(len(roster)), v.exchange)
-	}
-}
-
-// vmNamed returns a VM of the world.
-func (w *world) vmNamed(name string) *vm {
-	for _, v := range w.all {
-		if v.name == name {
-			return v
-		}
-	}
-	return nil
-}
-
-// exchange sends this VM's report to the hubs, and digests if it leads.
-func (v *vm) exchange() {
-	w, now := v.world, v.world.Elapsed()
-	v.meter.Roll(now)
-	requests, work := v.meter.Report()
-	report := v.peers.Report(now, v.region, requests, work, true)
-	for _, hub := range v.peers.Hubs(now) {
-		to := w.vmNamed(hub)
-		w.After(w.site.delay(v.region, to.region), func() { to.peers.HandleReport(w.Elapsed(), report) })
-	}
-	if !v.peers.Leads(now) {
-		return
-	}
-	digests := v.peers.Digests(now)
-	for _, to := range w.all {
-		if digest, ok := digests[to.name]; ok {
-			w.After(w.site.delay(v.region, to.region), func() { to.peers.HandleDigest(w.Elapsed(), digest) })
-		}
+		w.fleet.talk(p, offset)
 	}
 }
 
@@ -238,7 +193,7 @@
 	r.place.Waited = now - r.arrived
 	choice := r.vm.chooser.pick(now, &r.place)
 	switch {
-	case choice.Server == nil, r.sent >= maxAttempts, r.sent > 0 && !r.vm.budget.Take(now, len(w.all)):
+	case choice.Server == nil, r.sent >= maxAttempts, r.sent > 0 && !r.vm.budget.Take(now, len(w.fleet.all)):
 		w.rejected[r.rank]++
 		return
 	case r.sent == 0:
