gateway: a suspended backend server is logged and counted

'no usable server' is the same line whether the servers or only this VM's links to them are lost, and nothing says when a VM stopped using a server. One line for each suspension names the server, the cause and the number of suspended servers of its service; the gauge suspended_servers has that number.

No logic is changed.

--- a/core/placement/outcome.go
+++ b/core/placement/outcome.go
@@ -45,12 +45,14 @@
 	return [...]string{"succeeded", "failed", "mute", "shed", "unreachable", "misdirected", "abandoned"}[r]
 }
 
-// RequestFinished records the result of a started request and the time it took.
-func (p *Picker) RequestFinished(now time.Duration, r *Request, c Choice, result Result, elapsed time.Duration) {
+// RequestFinished records the result of a started request and the time it took. It
+// reports whether the server was suspended because of the result.
+func (p *Picker) RequestFinished(now time.Duration, r *Request, c Choice, result Result, elapsed time.Duration) (suspended bool) {
 	s := p.servers[c.Server.ID]
 	if s == nil {
-		return
+		return false
 	}
+	wasSuspended := s.needsProbe
 	s.inflight = max(0, s.inflight-1)
 	s.decayPenalties(now)
 	switch result {
@@ -77,6 +79,7 @@
 	case Unreachable, Misdirected:
 		s.suspend(now)
 	}
+	return s.needsProbe && !wasSuspended
 }
 
 func (p *Picker) recordLatency(r *Request, c Choice, s *server, elapsed time.Duration) {
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -235,6 +235,21 @@
 	return capacity
 }
 
+// SuspendedServers returns how many of the servers of a service are suspended, and how
+// many there are.
+func (p *Picker) SuspendedServers(service string) (suspended, servers int) {
+	g := p.groups[service]
+	if g == nil {
+		return 0, 0
+	}
+	for _, s := range g.servers {
+		if s.needsProbe {
+			suspended++
+		}
+	}
+	return suspended, len(g.servers)
+}
+
 // RTT returns the measured or assumed round-trip time to a region.
 func (p *Picker) RTT(region string) time.Duration {
 	return time.Duration(p.rtt(region) * float64(time.Millisecond))
--- a/entry/gateway/gauges.go
+++ b/entry/gateway/gauges.go
@@ -56,6 +56,8 @@
 			n.metrics.Gauge(flow.Shares()[region], "region_share", service, region)
 		}
 	}
+	suspended, _ := n.picker.SuspendedServers(service)
+	n.metrics.Gauge(float64(suspended), "suspended_servers", service)
 	if b := n.retryBudgets[service]; b != nil {
 		n.metrics.Gauge(math.Max(0, b.Remaining(now, n.peers.RosterSize())), "retries_left", service)
 	}
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -388,7 +388,9 @@
 	if trace.Sent && r.attempts == 1 {
 		n.retryBudget(r.placement.Service).AddRequest(now)
 	}
-	n.picker.RequestFinished(now, &r.placement, choice, result, elapsed)
+	if n.picker.RequestFinished(now, &r.placement, choice, result, elapsed) {
+		n.logSuspension(now, choice, result)
+	}
 	if trace.ConnectTime > 0 {
 		n.picker.ConnectionOpened(choice.Server.Region, trace.ConnectTime)
 	}
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -78,6 +78,19 @@
 		"warm", choice.Warm, "cause", cause, "omitted", omitted)
 }
 
+// logSuspension logs that a backend server gets no requests of this VM until a probe
+// succeeds. The same server in the logs of the other VMs tells a lost server from a lost
+// link. The caller holds mu.
+func (n *Node) logSuspension(now time.Duration, choice placement.Choice, result placement.Result) {
+	ok, omitted := n.logLimiter.Allow(now, "suspended")
+	if !ok {
+		return
+	}
+	suspended, servers := n.picker.SuspendedServers(choice.Server.Service)
+	n.log.Info("backend server suspended", "server", choice.Server.ID, "service", choice.Server.Service, "failureDomain", choice.Server.FailureDomain,
+		"result", result.String(), "suspended", suspended, "servers", servers, "omitted", omitted)
+}
+
 func configVersion(r *request) uint64 {
 	if r.view.Config == nil {
 		return 0
