gateway: a VM without links to the backend servers rejects its callers, as a test

Four nodes in virtual time, of which one, two or three lose their links to the backend servers: connections hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/entry/gateway/relay_test.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/entry/ingress"
+)
+
+// linkState is what happens to the connections between a VM and the backend servers.
+type linkState int
+
+const (
+	linksUp linkState = iota
+	// linksHang lose the bytes of all connections.
+	linksHang
+	// linksReset close open connections and lose the bytes of new ones.
+	linksReset
+	// linksRefuse refuse new connections, while open ones work.
+	linksRefuse
+)
+
+// fleet is a fleet of nodes in virtual time. The links of each VM to the backend servers
+// have a state of their own.
+type fleet struct {
+	nodes    map[string]*Node
+	backends *standInBackends
+
+	mu    sync.Mutex
+	links map[string]linkState
+	conns map[*linkConn]bool
+}
+
+// vmDialer opens connections to backend servers on behalf of one VM.
+type vmDialer struct {
+	fleet *fleet
+	vm    string
+}
+
+var errRefused = errors.New("connection refused")
+
+// DialContext implements upstream.Dialer.
+func (d *vmDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	switch d.fleet.linksOf(d.vm) {
+	case linksHang, linksReset:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case linksRefuse:
+		return nil, errRefused
+	}
+	nc, err := d.fleet.backends.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &linkConn{Conn: nc, fleet: d.fleet, vm: d.vm}
+	d.fleet.mu.Lock()
+	d.fleet.conns[c] = true
+	d.fleet.mu.Unlock()
+	return c, nil
+}
+
+// linkConn is a connection from a VM to a backend server.
+type linkConn struct {
+	net.Conn
+	fleet *fleet
+	vm    string
+}
+
+// Write implements net.Conn.
+func (c *linkConn) Write(p []byte) (int, error) {
+	if c.fleet.linksOf(c.vm) == linksHang {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn. Responses that arrive while the links hang are lost.
+func (c *linkConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || c.fleet.linksOf(c.vm) != linksHang {
+			return n, err
+		}
+	}
+}
+
+func (f *fleet) linksOf(vm string) linkState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links[vm]
+}
+
+// setLinks sets the state of a VM's links to the backend servers.
+func (f *fleet) setLinks(vm string, state linkState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links[vm] = state
+	for c := range f.conns {
+		if c.vm == vm && state == linksReset {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
+// fleetServers is the number of backend servers of a fleet.
+const fleetServers = 12
+
+// runFleet runs a test with a fleet of nodes of one region in virtual time.
+func runFleet(t *testing.T, respond func(*http.Request) string, config *steering.Config, vms []string, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		f := &fleet{
+			nodes: make(map[string]*Node), backends: &standInBackends{handlers: make(map[string]func(*http.Request) string)},
+			links: make(map[string]linkState), conns: make(map[*linkConn]bool),
+		}
+		var servers []catalog.RowChange[steering.Server]
+		for i := range fleetServers {
+			id := fmt.Sprintf("s%d", i)
+			f.backends.handlers[id] = respond
+			servers = append(servers, catalog.RowChange[steering.Server]{Key: id, Position: 1, Value: &steering.Server{
+				ID: id, Service: "desk", Address: id, FailureDomain: []string{"a", "b"}[i%2], Region: "north", Slots: 8,
+			}})
+		}
+		var rows []catalog.RowChange[steering.VM]
+		for _, vm := range vms {
+			rows = append(rows, catalog.RowChange[steering.VM]{Key: vm, Position: 1, Value: &steering.VM{
+				Name: vm, FailureDomain: "a", Region: "north", FrontAddress: vm + ":8206", PeerAddress: vm + ":7600", Weight: 1,
+			}})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, vm := range vms {
+			settings := testSettings()
+			settings.VM, settings.IP, settings.PeerPort = vm, vm, 7600
+			n := newNode(settings, logr.Discard(), &vmDialer{f, vm}, nil)
+			f.nodes[vm] = n
+			n.mu.Lock()
+			n.catalog.ApplyConfig(config)
+			n.catalog.MarkOperatorLoaded()
+			n.catalog.LoadServers(0, 1, servers)
+			n.catalog.LoadVMs(0, 1, rows)
+			n.publishView(0)
+			n.mu.Unlock()
+			go n.tickLoop(ctx)
+		}
+		test(f)
+		cancel()
+		f.mu.Lock()
+		for c := range f.conns {
+			_ = c.Conn.Close()
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Minute)
+	})
+}
+
+// serve sends a request to a VM.
+func (f *fleet) serve(ctx context.Context, vm, method, target string) *ingress.Response {
+	return (&handler{f.nodes[vm]}).Serve(ctx, newRequest(method, target))
+}
+
+// load sends requests to each VM, lookups and bookings in turn, and returns the number of
+// requests that were served by VM. The requests of a VM overlap.
+func (f *fleet) load(perVM int, interval time.Duration) map[string]int {
+	served := make(map[string]int)
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for i := range perVM {
+		for vm := range f.nodes {
+			callers.Go(func() {
+				method, target := "GET", "/look/x"
+				if i%2 == 1 {
+					method, target = "POST", "/book/x"
+				}
+				if f.serve(context.Background(), vm, method, target).Status == http.StatusOK {
+					mu.Lock()
+					served[vm]++
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return served
+}
+
+// slowly responds after the time that a server works on a request.
+func slowly(r *http.Request) string {
+	time.Sleep(150 * time.Millisecond)
+	return respondWith(200, "ok")(r)
+}
+
+const (
+	// loadInterval is the time between two requests to one VM. highLoadInterval is that
+	// of a load which needs more connections.
+	loadInterval, highLoadInterval = 25 * time.Millisecond, 8 * time.Millisecond
+	// cutDetectionBound is the time after which a VM without links to the backend servers
+	// has to serve its callers again: the shortest stable window of a deployment.
+	cutDetectionBound = 3 * time.Second
+)
+
+// Guards against callers of a VM that has lost its links to the backend servers and gets
+// their requests rejected, although the other VMs reach the servers.
+func TestVMWithoutLinksToBackendServersServesItsCallers(t *testing.T) {
+	for name, state := range map[string]linkState{"connections hang": linksHang, "connections are reset": linksReset, "connections are refused": linksRefuse} {
+		for cut := 1; cut <= 3; cut++ {
+			t.Run(fmt.Sprintf("%s at %d of 4 VMs", name, cut), func(t *testing.T) {
+				vms := []string{"vm-1", "vm-2", "vm-3", "vm-4"}
+				var served map[string]int
+				runFleet(t, slowly, testConfig(), vms, func(f *fleet) {
+					f.load(80, loadInterval)
+					for _, vm := range vms[:cut] {
+						f.setLinks(vm, state)
+					}
+					f.load(int(cutDetectionBound/highLoadInterval), highLoadInterval)
+					served = f.load(200, highLoadInterval)
+				})
+				for _, vm := range vms[:cut] {
+					require.GreaterOrEqual(t, 3*served[vm], 2*served["vm-4"], "requests served by %s: %v", vm, served)
+				}
+			})
+		}
+	}
+}
