gateway: a VM without links to the backend servers relays its requests

Cause: a VM has no way to a server but its own connections, and nothing that knows of the links as a whole: it learned of their loss server by server (3 to 4.5 s for 42 servers), then rejected everything, and needed up to 4 s after the cut until its suspensions had ended. The class is a VM that is alive for callers and its fleet but useless for the work.

- core/linkhealth decides from silence, or from failed connections, when to check the links, and opens connections to three servers in different failure domains as the check; only its result makes the links lost, and only later checks restore them, more of them after a relapse.
- While they are lost, or if no server is usable because half of a service does not answer this VM, requests go through another VM (core/relay selects it): one hop, over a listener of its own, so that VMs of earlier versions refuse the connection and the request is known not to have run.
The first VM checks key and rate; the relay applies limits of servers, cold rates, retry budget and region shares as for its own requests.
A lost response of a relay counts as an unknown outcome.
- Idempotent requests that wait on connections which no longer answer go on at once; suspensions that came from the loss end with it.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -42,6 +42,9 @@
 	// ServerLimit means that the usable servers get no more requests now because of
 	// the limits that they name.
 	ServerLimit Reason = "server limit"
+	// LinksLost means that this VM has lost its links to the backend servers. Pick does
+	// not return it.
+	LinksLost Reason = "links to backend servers lost"
 )
 
 // Choice is the result of Picker.Pick.
--- a/core/placement/outcome.go
+++ b/core/placement/outcome.go
@@ -59,6 +59,7 @@
 	case Succeeded:
 		s.consecutiveFailures = 0
 		s.suspensionTime = 0
+		s.unreachable = false
 		s.failureShare -= s.failureShare * outcomeWeight
 		s.shedShare -= s.shedShare * outcomeWeight
 		p.recordLatency(r, c, s, elapsed)
@@ -74,9 +75,13 @@
 		// shows within one round trip whether the server was only slow.
 		s.failureShare += (1 - s.failureShare) * outcomeWeight
 		s.suspend(now)
+		s.unreachable = true
 	case Shed:
 		s.shedShare += (1 - s.shedShare) * outcomeWeight
-	case Unreachable, Misdirected:
+	case Unreachable:
+		s.suspend(now)
+		s.unreachable = true
+	case Misdirected:
 		s.suspend(now)
 	}
 	return s.needsProbe && !wasSuspended
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -61,7 +61,11 @@
 	suspendedUntil time.Duration
 	suspensionTime time.Duration
 	// needsProbe is set while the server gets no requests until a probe succeeds.
-	needsProbe     bool
+	needsProbe bool
+	// unreachable is set if the server was suspended, at suspendedAt, because it did not
+	// answer this VM.
+	unreachable    bool
+	suspendedAt    time.Duration
 	coldUntil      time.Duration
 	coldBucket     ratelimit.Bucket
 	sharesColdRate bool
@@ -112,6 +116,9 @@
 func (s *server) suspend(now time.Duration) {
 	s.suspensionTime = min(max(2*s.suspensionTime, minSuspension), maxSuspension)
 	s.suspendedUntil = now + s.suspensionTime
+	if !s.needsProbe {
+		s.suspendedAt = now
+	}
 	s.needsProbe = true
 }
 
--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -49,6 +49,7 @@
 	n.stopping.Store(true)
 	n.log.Info("stopping", "vm", n.settings.VM, "grace", n.bounds.Load().GracePeriod.String())
 	n.ingress.Drain()
+	n.relayServer.Drain()
 	go func() {
 		if err := n.writeRegistration(ctx, true); err != nil {
 			n.log.Info("could not mark VM as leaving in the store", "error", err.Error())
@@ -57,17 +58,20 @@
 	acceptPeriod := n.bounds.Load().GracePeriod - finalResponsesMargin
 	for time.Since(start) < acceptPeriod {
 		conns, inFlight, idle := n.ingress.Activity()
+		_, relayed, relayIdle := n.relayServer.Activity()
 		elapsed := time.Since(start)
-		if elapsed > minDrainTime && inFlight == 0 && (conns == 0 || idle > drainIdleTime) {
+		if elapsed > minDrainTime && inFlight+relayed == 0 && (conns == 0 || idle > drainIdleTime) && relayIdle > drainIdleTime {
 			break
 		}
 		n.sleep(ctx, drainPollInterval)
 	}
 	n.ingress.Close()
+	n.relayServer.Close()
 	end := start.Add(n.bounds.Load().GracePeriod - killMargin)
 	n.awaitConnsEnd(ctx, earlier(end, time.Now().Add(lateConnTime)))
 	// A connection may have been accepted since the last look.
 	n.ingress.Stop()
+	n.relayServer.Stop()
 	n.awaitConnsEnd(ctx, end)
 	conns, inFlight, _ := n.ingress.Activity()
 	n.log.Info("drained", "connections", conns, "inFlight", inFlight, "after", time.Since(start).String())
@@ -76,7 +80,9 @@
 // awaitConnsEnd waits until callers' connections have ended, but not beyond end.
 func (n *Node) awaitConnsEnd(ctx context.Context, end time.Time) {
 	for time.Now().Before(end) {
-		if conns, _, _ := n.ingress.Activity(); conns == 0 {
+		conns, _, _ := n.ingress.Activity()
+		relayConns, _, _ := n.relayServer.Activity()
+		if conns+relayConns == 0 {
 			return
 		}
 		n.sleep(ctx, drainPollInterval)
--- a/entry/gateway/gauges.go
+++ b/entry/gateway/gauges.go
@@ -30,6 +30,7 @@
 	n.metrics.Gauge(float64(outdated), "rows_kept", "outdated")
 	n.metrics.Gauge(float64(n.picker.LimitedServers()), "limited_servers")
 	n.metrics.Gauge(gaugeValue(n.peers.IsHub(now)), "hub")
+	n.metrics.Gauge(gaugeValue(n.links.Lost()), "links_lost")
 	n.metrics.Gauge(gaugeValue(view.Ready && !n.stopping.Load()), "ready")
 	if view.Config == nil {
 		return
--- /dev/null
+++ b/entry/gateway/links.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/entry/upstream"
+)
+
+// linkCheckTimeout bounds opening a connection in a check of the links, in addition to a
+// round trip.
+const linkCheckTimeout = 300 * time.Millisecond
+
+// observeLinks passes the outcome of an attempt to the monitor of the links to the backend
+// servers. The caller holds mu.
+func (n *Node) observeLinks(now time.Duration, server string, response *upstream.Response, trace upstream.Trace, err error) {
+	if response != nil {
+		n.links.Answered(now)
+	}
+	if trace.ConnectTime > 0 {
+		n.links.Connected()
+	}
+	if isNotSent(err) && !isCancelled(err) {
+		n.links.ConnectFailed(server)
+		n.checkLinks(now)
+	}
+}
+
+// checkLinks checks the links to the backend servers if that is due. The caller holds mu.
+func (n *Node) checkLinks(now time.Duration) {
+	if !n.links.BeginCheck(now, n.picker.Servers()) {
+		return
+	}
+	n.linkChecks++
+	targets := n.picker.CheckTargets(n.settings.FailureDomain, n.linkChecks)
+	var longestRTT time.Duration
+	for _, s := range targets {
+		longestRTT = max(longestRTT, n.picker.RTT(s.Region))
+	}
+	n.metrics.Count(1, "link_checks")
+	go func() {
+		connected := n.connectToAny(targets, linkCheckTimeout+longestRTT)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.linkCheckFinished(n.now(), len(targets), connected)
+	}()
+}
+
+// connectToAny opens and closes a connection to each server and returns the number of
+// those that were opened within the timeout.
+func (n *Node) connectToAny(servers []*steering.Server, timeout time.Duration) (connected int) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	results := make(chan bool, len(servers))
+	for _, s := range servers {
+		go func() {
+			c, err := n.backendDialer.DialContext(ctx, "tcp", s.Address)
+			if err == nil {
+				_ = c.Close()
+			}
+			results <- err == nil
+		}()
+	}
+	for range servers {
+		if <-results {
+			connected++
+		}
+	}
+	return connected
+}
+
+// linkCheckFinished handles the result of a check of the links. The caller holds mu.
+func (n *Node) linkCheckFinished(now time.Duration, tried, connected int) {
+	silent := n.links.IsSilent(now, n.picker.Servers())
+	if !n.links.CheckFinished(now, tried, connected) {
+		return
+	}
+	if !n.links.Lost() {
+		n.log.Info("links to backend servers restored", "afterMS", (now - n.linksLostAt).Milliseconds())
+		n.picker.LinksRestored(now, n.linksLostAt)
+		n.newLinksContext()
+		return
+	}
+	n.linksLostAt = now
+	n.log.Info("links to backend servers lost", "tried", tried, "silent", silent)
+	if silent {
+		// While only new connections fail, the open ones still bring responses.
+		n.linksCancel()
+	}
+	go n.pool.CloseAllIdle()
+}
+
+// newLinksContext makes a context that ends when the links are lost and no response is
+// expected on the open connections.
+func (n *Node) newLinksContext() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.linksCtx.Store(&ctx)
+	n.linksCancel = cancel
+}
+
+// interruptible returns a context that ends with ctx, and when no response is expected any
+// more because the links to the backend servers are lost.
+func (n *Node) interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(*n.linksCtx.Load(), cancel)
+	return ctx, func() { stop(); cancel() }
+}
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -18,11 +18,14 @@
 	"github.com/cassiawind/cassiawind/core/catalog"
 	"github.com/cassiawind/cassiawind/core/demand"
 	"github.com/cassiawind/cassiawind/core/exchange"
+	"github.com/cassiawind/cassiawind/core/linkhealth"
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/ratelimit"
 	"github.com/cassiawind/cassiawind/core/regionflow"
+	"github.com/cassiawind/cassiawind/core/relay"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
 	"github.com/cassiawind/cassiawind/core/serverlimit"
+	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/eventlog"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 	"github.com/cassiawind/cassiawind/entry/telemetry"
@@ -61,8 +64,17 @@
 	store       *adapter.Store
 	pool        *upstream.Pool
 	ingress     *ingress.Server
-	view        atomic.Pointer[catalog.View]
-	stopping    atomic.Bool
+	// relayPool holds connections to relays, relayServer serves the requests that other VMs
+	// relay through this one.
+	relayPool   *upstream.Pool
+	relayServer *ingress.Server
+	// backendDialer opens the connections of pool.
+	backendDialer upstream.Dialer
+	// linksCtx ends when no response is expected any more because the links to the backend
+	// servers are lost.
+	linksCtx atomic.Pointer[context.Context]
+	view     atomic.Pointer[catalog.View]
+	stopping atomic.Bool
 	// stoppingSince is when the process got the signal to stop, as a
 	// time.Duration since its start.
 	stoppingSince atomic.Int64
@@ -127,6 +139,15 @@
 	// serverLimits are the limits of backend servers that the picker uses.
 	serverLimits map[string]serverlimit.Limit
 	logLimiter   *eventlog.Limiter
+	// links monitors the links to the backend servers, which were last lost at linksLostAt.
+	// linkChecks counts their checks, and linksCancel ends linksCtx.
+	links       *linkhealth.Monitor
+	linksLostAt time.Duration
+	linkChecks  uint64
+	linksCancel context.CancelFunc
+	relays      *relay.Selector
+	// unservedUntil is when requests for a service may be relayed again.
+	unservedUntil map[string]time.Duration
 }
 
 // New returns a node, which serves once Run is called.
@@ -138,8 +159,9 @@
 	start, incarnation := time.Now(), rand.Int64()
 	n := &Node{
 		settings: settings, log: log, start: start, incarnation: incarnation, metrics: telemetry.New(start),
-		store:       adapter.NewStore(settings.StoreAddress, storeTransport),
-		pool:        upstream.NewPool(backendDialer),
+		store: adapter.NewStore(settings.StoreAddress, storeTransport),
+		pool:  upstream.NewPool(backendDialer), relayPool: upstream.NewPool(backendDialer), backendDialer: backendDialer,
+		links: linkhealth.New(), relays: relay.NewSelector(rand.Float64), unservedUntil: make(map[string]time.Duration),
 		fatalErrors: make(chan error, 1), hubClient: newHubClient(), replicas: newReplicas(),
 		hubReadWake: make(chan struct{}, 1), heartbeatWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
@@ -161,6 +183,8 @@
 		adapter.TableOperator: n.operatorWatcher(), adapter.TableServers: n.serversWatcher(), adapter.TableVMs: n.vmsWatcher(),
 	}
 	n.ingress = ingress.NewServer(&handler{n})
+	n.relayServer = ingress.NewServer(&relayHandler{handler{n}})
+	n.newLinksContext()
 	return n
 }
 
@@ -252,12 +276,22 @@
 	n.serveAux(readyListener, adapter.PathReady, http.HandlerFunc(n.serveReadiness))
 	n.serveAux(peerListener, changesPath, http.HandlerFunc(n.serveChanges))
 	n.serveAux(metricsListener, "/metrics", n.metrics.Prometheus())
+	relayListener, err := listenTCP(joinHostPort(n.settings.IP, n.relayPort()))
+	if err != nil {
+		return err
+	}
+	n.serveRequests(n.ingress, frontListener)
+	n.serveRequests(n.relayServer, relayListener)
+	return nil
+}
+
+// serveRequests serves the requests of callers, or those that other VMs relay.
+func (n *Node) serveRequests(server *ingress.Server, l net.Listener) {
 	go func() {
-		if err := n.ingress.Serve(frontListener); err != nil {
+		if err := server.Serve(l); err != nil {
 			n.fail(err)
 		}
 	}()
-	return nil
 }
 
 // serveAux serves one path on a listener of its own, apart from the listener
@@ -319,7 +353,11 @@
 		n.dropPendingGrants(now)
 		overdue := n.answerOverdueWaiters(now)
 		n.applyServerLimits(now)
-		n.updateRegionFlows(now)
+		n.checkLinks(now)
+		if !n.links.Lost() {
+			// Without links, the capacity of the regions is not known.
+			n.updateRegionFlows(now)
+		}
 		if view := n.view.Load(); view.Config != nil {
 			n.updateRates(now, view)
 		}
@@ -327,13 +365,17 @@
 			lastGaugeUpdate = now
 			n.updateGauges(now, n.view.Load())
 		}
-		probes := n.picker.DueProbes(now)
+		var probes []*steering.Server
+		if !n.links.Lost() {
+			probes = n.picker.DueProbes(now)
+		}
 		n.mu.Unlock()
 		n.sendAll(overdue)
 		for _, s := range probes {
 			go n.probe(ctx, s)
 		}
 		n.pool.CloseExpired()
+		n.relayPool.CloseExpired()
 	}
 }
 
@@ -357,6 +399,7 @@
 		n.registrationSeen.Store(true)
 	}
 	n.peers.SetRoster(roster)
+	n.relays.Forget(func(vm string) bool { return view.VMs[vm] != nil })
 	n.picker.SetVMs(now, sortedKeys(view.VMs))
 	n.updateActiveVMs(now)
 	n.updateRates(now, view)
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -10,6 +11,9 @@
 )
 
 func isNotSent(err error) bool { return errors.Is(err, upstream.ErrNotSent) }
+func isCancelled(err error) bool {
+	return errors.Is(err, upstream.ErrCancelled) || errors.Is(err, context.Canceled)
+}
 func isTimeout(err error) bool { return errors.Is(err, upstream.ErrTimeout) }
 
 // attemptResult classifies the outcome of an attempt for the picker.
--- /dev/null
+++ b/entry/gateway/relay.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/core/relay"
+	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/entry/hop"
+	"github.com/cassiawind/cassiawind/entry/ingress"
+	"github.com/cassiawind/cassiawind/entry/upstream"
+	"github.com/cassiawind/cassiawind/platform/adapter"
+)
+
+// Headers between a VM and its relay. A relay listens on a port of its own, so that VMs
+// of earlier versions refuse the connection and the request is known not to have run.
+const (
+	relayRequestHeader  = "Cassiawind-Relay"
+	relayResponseHeader = "Cassiawind-Relay-Result"
+)
+
+const (
+	// relayIdleConns is the number of connections to one relay that are kept idle.
+	relayIdleConns = 8
+	// relayMargin is how long the response of a relay is awaited after that of a backend
+	// server would have been.
+	relayMargin = 50 * time.Millisecond
+	// unservedTime is how long requests for a service are not relayed after a relay had no
+	// server for it either.
+	unservedTime = 500 * time.Millisecond
+)
+
+// relayRequest is what the relay has to know of a request in addition to its content. The
+// VM that the caller uses has checked the key and the account's rate.
+type relayRequest struct {
+	Service    string `json:"service"`
+	Route      string `json:"route"`
+	Account    string `json:"account,omitempty"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	Object     uint64 `json:"object,omitempty"`
+	Priority   int    `json:"priority"`
+	// ObjectiveMS is the latency that the caller expects.
+	ObjectiveMS int64 `json:"objective"`
+	// MaxAttempts is the number of attempts that the route allows, and Attempts that of
+	// those that may have reached a server already, Tried.
+	MaxAttempts int      `json:"maxAttempts"`
+	Attempts    int      `json:"attempts,omitempty"`
+	Tried       []string `json:"tried,omitempty"`
+	// Regions are those that may serve the request; empty if all may.
+	Regions []string `json:"regions,omitempty"`
+}
+
+// relayRefusal says why a relay did not run a request.
+type relayRefusal string
+
+const (
+	// refusedWithoutLinks and refusedBusy concern the relay, refusedNoServer the service,
+	// and refusedRequest the request, so that other relays would refuse it as well.
+	refusedWithoutLinks relayRefusal = "without links"
+	refusedBusy         relayRefusal = "busy"
+	refusedNoServer     relayRefusal = "no server"
+	refusedRequest      relayRefusal = "request"
+)
+
+// relayResult is what a relay states about its response.
+type relayResult struct {
+	// Refusal is set if the request was not run and never will be; Reason and RetryAfterMS
+	// are those of the rejection.
+	Refusal      relayRefusal `json:"refusal,omitempty"`
+	Reason       string       `json:"reason,omitempty"`
+	RetryAfterMS int64        `json:"retryAfter,omitempty"`
+	// Attempts are the attempts that may have reached a server, those before included.
+	Attempts int `json:"attempts,omitempty"`
+	// Server is the server of the newest attempt. The response is its own unless Failed is
+	// set.
+	Server string `json:"server,omitempty"`
+	Failed bool   `json:"failed,omitempty"`
+}
+
+func (n *Node) relayPort() int { return n.settings.PeerPort + 1 }
+
+// mayRelay reports whether another VM may serve a request for which this VM has no server.
+// A relayed request is not relayed again.
+func (r *request) mayRelay(rejection placement.Choice) bool {
+	if r.isRelayed || r.attempts > 0 && r.attempts >= r.route.MaxAttempts {
+		return false
+	}
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.now() < n.unservedUntil[r.placement.Service] {
+		return false
+	}
+	switch rejection.Reason {
+	case placement.LinksLost:
+		return true
+	case placement.NoServer, placement.NoServerInTime, placement.Overloaded:
+		return r.connectFailures > maxConnectFailures || n.picker.OthersMayServe(&r.placement)
+	default:
+		return false
+	}
+}
+
+// relay sends the request to other VMs until one of them has a response for the caller.
+func (r *request) relay(ctx context.Context, rejection placement.Choice) *ingress.Response {
+	var tried []string
+	for ctx.Err() == nil {
+		vm, retryAfter := r.selectRelay(tried)
+		if vm == nil {
+			rejection.RetryAfter = retryAfter
+			if len(tried) > 0 {
+				rejection.Reason += placement.Reason("; " + r.reason)
+			}
+			return r.giveUp(rejection)
+		}
+		tried = append(tried, vm.Name)
+		response, outcome := r.relayThrough(ctx, vm)
+		r.node.relayFinished(vm.Name, outcome)
+		if response != nil {
+			return response
+		}
+	}
+	return r.reject(statusCallerLeft, 0, "caller left")
+}
+
+// selectRelay selects the next relay for the request. Without one, retryAfter is the time
+// after which there may be one.
+func (r *request) selectRelay(tried []string) (vm *steering.VM, retryAfter time.Duration) {
+	n := r.node
+	view := n.view.Load()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	alive, _ := n.peers.AcceptsCallers(now)
+	var candidates []relay.Candidate
+	for name, vm := range view.VMs {
+		if name != n.settings.VM && !vm.Leaving && (alive == nil || alive(name)) && r.placement.Allowed(vm.Region) {
+			candidates = append(candidates, relay.Candidate{VM: name, RTT: n.picker.RTT(vm.Region), Weight: vm.Weight})
+		}
+	}
+	name := n.relays.Select(now, candidates, tried)
+	if name == "" {
+		retryAfter = n.links.RetryAfter(now)
+		if wait := n.relays.RetryAfter(now, candidates); wait > 0 {
+			retryAfter = min(retryAfter, wait)
+		}
+		return nil, max(retryAfter, shedRetryAfter)
+	}
+	n.relays.Started(name)
+	return view.VMs[name], 0
+}
+
+func (n *Node) relayFinished(vm string, outcome relay.Outcome) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.relays.Finished(n.now(), vm, outcome)
+}
+
+// relayThrough sends the request to one relay. Without a response, another relay may get
+// the request.
+func (r *request) relayThrough(ctx context.Context, vm *steering.VM) (*ingress.Response, relay.Outcome) {
+	n := r.node
+	call, err := r.newRelayCall(vm)
+	if err != nil {
+		n.log.Info("request cannot be relayed", "id", r.callerHeaders.AttemptID, "relay", vm.Name, "error", err.Error())
+		return nil, relay.Unreachable
+	}
+	r.relayVM = vm.Name
+	callCtx := ctx
+	if !r.route.Idempotent {
+		callCtx = context.WithoutCancel(ctx)
+	}
+	serverResponse, _, err := n.relayPool.Do(callCtx, call)
+	if err != nil {
+		return r.afterRelayFailure(ctx, err)
+	}
+	var result relayResult
+	if err := json.Unmarshal([]byte(serverResponse.Header.Get(relayResponseHeader)), &result); err != nil {
+		return r.afterRelayFailure(ctx, &upstream.CallError{Kind: upstream.ErrMalformed, Cause: err})
+	}
+	n.metrics.Count(1, "relayed", string(result.Refusal))
+	r.attempts, r.server = max(r.attempts, result.Attempts), result.Server
+	if result.Refusal != "" {
+		return r.afterRefusal(result)
+	}
+	if result.Failed {
+		r.mayHaveRun = true
+		return r.reject(serverResponse.Status, 0, "relay: "+result.Reason), relay.Answered
+	}
+	serverResponse.Header.Del(relayResponseHeader)
+	return r.relayResponse(serverResponse), relay.Answered
+}
+
+// afterRelayFailure decides what follows a call to a relay that brought no response.
+func (r *request) afterRelayFailure(ctx context.Context, err error) (*ingress.Response, relay.Outcome) {
+	r.reason = "relay: " + err.Error()
+	switch {
+	case ctx.Err() != nil:
+		return r.reject(statusCallerLeft, 0, "caller left"), relay.Answered
+	case isNotSent(err):
+		r.node.metrics.Count(1, "relayed", "not_sent")
+		return nil, relay.Unreachable
+	}
+	r.node.metrics.Count(1, "relayed", "lost")
+	r.mayHaveRun = true
+	r.attempts++
+	switch {
+	case isTimeout(err):
+		return r.reject(http.StatusGatewayTimeout, 0, r.reason), relay.Lost
+	case !r.route.Idempotent || r.attempts >= r.route.MaxAttempts:
+		return r.reject(http.StatusBadGateway, 0, r.reason), relay.Lost
+	default:
+		return nil, relay.Lost
+	}
+}
+
+// afterRefusal decides what follows the refusal of a relay, which states that the request
+// was not run.
+func (r *request) afterRefusal(result relayResult) (*ingress.Response, relay.Outcome) {
+	r.reason = "relay: " + result.Reason
+	switch result.Refusal {
+	case refusedWithoutLinks:
+		return nil, relay.WithoutLinks
+	case refusedBusy:
+		return nil, relay.Busy
+	case refusedNoServer:
+		n := r.node
+		n.mu.Lock()
+		n.unservedUntil[r.placement.Service] = n.now() + unservedTime
+		n.mu.Unlock()
+	}
+	retryAfter := time.Duration(result.RetryAfterMS) * time.Millisecond
+	return r.giveUp(placement.Choice{Reason: placement.Reason(result.Reason), RetryAfter: retryAfter}), relay.Answered
+}
+
+// newRelayCall returns the call that sends the request to a relay.
+func (r *request) newRelayCall(vm *steering.VM) (*upstream.Call, error) {
+	host, _, err := net.SplitHostPort(vm.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	state := relayRequest{
+		Service: r.placement.Service, Route: r.route.Name, Idempotent: r.route.Idempotent, Object: r.placement.Object, Priority: r.placement.Priority,
+		ObjectiveMS: r.route.Objective.Milliseconds(), MaxAttempts: r.route.MaxAttempts, Attempts: r.attempts, Tried: r.placement.Tried, Regions: r.allowedRegions(),
+	}
+	if r.account != nil {
+		state.Account = r.account.Name
+	}
+	encoded, err := json.Marshal(state)
+	if err != nil {
+		return nil, err
+	}
+	header := make(http.Header, len(r.incoming.Header)+4)
+	maps.Copy(header, r.incoming.Header)
+	hop.Remove(header)
+	adapter.SetRequestHeaders(header, vm.Name, state.Account, time.Until(r.deadline))
+	header[relayRequestHeader] = []string{string(encoded)}
+	call := r.newCallWithHeader(header)
+	call.ServerID, call.Address, call.MaxIdleConns = vm.Name, joinHostPort(host, r.node.relayPort()), relayIdleConns
+	call.Deadline = call.Deadline.Add(relayMargin)
+	return call, nil
+}
+
+// allowedRegions returns the regions that may serve the request, or nil if all may.
+func (r *request) allowedRegions() []string {
+	var allowed []string
+	for _, region := range r.node.regions {
+		if r.placement.Allowed(region) {
+			allowed = append(allowed, region)
+		}
+	}
+	if len(allowed) == len(r.node.regions) {
+		return nil
+	}
+	return allowed
+}
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -37,12 +37,49 @@
 type fleet struct {
 	nodes    map[string]*Node
 	backends *standInBackends
+	// relays are the listeners for relayed requests, by address.
+	relays map[string]*pipeListener
 
 	mu    sync.Mutex
 	links map[string]linkState
 	conns map[*linkConn]bool
 }
 
+// pipeListener accepts connections within the process.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) dial() (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errRefused
+	}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return nil }
+
 // vmDialer opens connections to backend servers on behalf of one VM.
 type vmDialer struct {
 	fleet *fleet
@@ -53,6 +90,9 @@
 
 // DialContext implements upstream.Dialer.
 func (d *vmDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if l := d.fleet.relays[address]; l != nil {
+		return l.dial()
+	}
 	switch d.fleet.linksOf(d.vm) {
 	case linksHang, linksReset:
 		<-ctx.Done()
@@ -114,6 +154,14 @@
 	}
 }
 
+// fleetConfig returns a configuration with the limits that requests need to be read from
+// a connection.
+func fleetConfig(accounts ...*steering.Account) *steering.Config {
+	config := testConfig(accounts...)
+	config.Limits = steering.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	return config
+}
+
 // fleetServers is the number of backend servers of a fleet.
 const fleetServers = 12
 
@@ -123,7 +171,7 @@
 	synctest.Test(t, func(*testing.T) {
 		f := &fleet{
 			nodes: make(map[string]*Node), backends: &standInBackends{handlers: make(map[string]func(*http.Request) string)},
-			links: make(map[string]linkState), conns: make(map[*linkConn]bool),
+			links: make(map[string]linkState), conns: make(map[*linkConn]bool), relays: make(map[string]*pipeListener),
 		}
 		var servers []catalog.RowChange[steering.Server]
 		for i := range fleetServers {
@@ -152,10 +200,19 @@
 			n.catalog.LoadVMs(0, 1, rows)
 			n.publishView(0)
 			n.mu.Unlock()
+			l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+			f.relays[joinHostPort(vm, n.relayPort())] = l
+			go func() { _ = n.relayServer.Serve(l) }()
 			go n.tickLoop(ctx)
 		}
 		test(f)
 		cancel()
+		for _, l := range f.relays {
+			_ = l.Close()
+		}
+		for _, n := range f.nodes {
+			n.relayPool.CloseAllIdle()
+		}
 		f.mu.Lock()
 		for c := range f.conns {
 			_ = c.Conn.Close()
@@ -219,7 +276,7 @@
 			t.Run(fmt.Sprintf("%s at %d of 4 VMs", name, cut), func(t *testing.T) {
 				vms := []string{"vm-1", "vm-2", "vm-3", "vm-4"}
 				var served map[string]int
-				runFleet(t, slowly, testConfig(), vms, func(f *fleet) {
+				runFleet(t, slowly, fleetConfig(), vms, func(f *fleet) {
 					f.load(80, loadInterval)
 					for _, vm := range vms[:cut] {
 						f.setLinks(vm, state)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -115,6 +115,14 @@
 	expectedTime time.Duration
 	// retryAfter is when the caller was told to come back; 0 if it was not.
 	retryAfter time.Duration
+	// isRelayed is set for requests that this VM serves on behalf of another one, relayVM is
+	// the VM that this VM relayed the request to.
+	isRelayed bool
+	relayVM   string
+	// answered is set if the response is that of a backend server; otherwise rejectedFor
+	// is why no server got the request.
+	answered    bool
+	rejectedFor placement.Reason
 }
 
 // Serve implements ingress.Handler.
@@ -257,6 +265,9 @@
 			return r.reject(statusCallerLeft, 0, "caller left")
 		}
 		choice, ok := r.chooseServer(ctx)
+		if !ok && r.mayRelay(choice) {
+			return r.relay(ctx, choice)
+		}
 		if !ok {
 			return r.giveUp(choice)
 		}
@@ -300,6 +311,9 @@
 	if r.attempts > 0 && r.attempts >= r.route.MaxAttempts {
 		return placement.Choice{Reason: "all attempts used"}, false
 	}
+	if n.links.Lost() {
+		return placement.Choice{Reason: placement.LinksLost, RetryAfter: n.links.RetryAfter(n.now())}, false
+	}
 	if r.connectFailures > maxConnectFailures {
 		return placement.Choice{Reason: placement.NoServer, RetryAfter: unconfiguredRetryAfter}, false
 	}
@@ -322,6 +336,7 @@
 		return placement.Choice{Reason: "retry budget used", RetryAfter: shedRetryAfter, ExpectedLatency: choice.ExpectedLatency}
 	}
 	n.picker.RequestStarted(now, &r.placement, choice)
+	n.links.RequestSent(choice.Server.ID)
 	return choice
 }
 
@@ -353,7 +368,7 @@
 		// begun cannot be undone.
 		ctx = context.WithoutCancel(ctx)
 	}
-	serverResponse, trace, err := n.pool.Do(ctx, r.newCall(choice))
+	serverResponse, trace, err := r.call(ctx, choice)
 	elapsed := time.Since(begin)
 	if trace.Sent {
 		r.attempts++
@@ -361,7 +376,7 @@
 		r.connectFailures++
 	}
 	result := attemptResult(serverResponse, err)
-	r.reportResult(choice, serverResponse, trace, result, elapsed)
+	r.reportResult(choice, serverResponse, trace, result, elapsed, err)
 	cause := ""
 	if err != nil {
 		cause = err.Error()
@@ -375,13 +390,25 @@
 	return r.afterResponse(serverResponse)
 }
 
-// reportResult passes the result of an attempt to the picker and the retry
-// budget.
-func (r *request) reportResult(choice placement.Choice, response *upstream.Response, trace upstream.Trace, result placement.Result, elapsed time.Duration) {
+// call sends the request to the chosen server. An idempotent request ends once no response
+// is expected any more, because the links to the backend servers are lost.
+func (r *request) call(ctx context.Context, choice placement.Choice) (*upstream.Response, upstream.Trace, error) {
+	if r.route.Idempotent {
+		var cancel context.CancelFunc
+		ctx, cancel = r.node.interruptible(ctx)
+		defer cancel()
+	}
+	return r.node.pool.Do(ctx, r.newCall(choice))
+}
+
+// reportResult passes the result of an attempt to the picker, the retry budget and the
+// monitor of the links.
+func (r *request) reportResult(choice placement.Choice, response *upstream.Response, trace upstream.Trace, result placement.Result, elapsed time.Duration, err error) {
 	n := r.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
+	n.observeLinks(now, choice.Server.ID, response, trace, err)
 	if response != nil && result != placement.Misdirected {
 		n.recordServerLimit(now, now-elapsed, choice.Server, response)
 	}
@@ -410,10 +437,18 @@
 		account = r.account.Name
 	}
 	adapter.SetRequestHeaders(header, choice.Server.ID, account, remaining)
+	call := r.newCallWithHeader(header)
+	call.ServerID, call.Address, call.MaxIdleConns = choice.Server.ID, choice.Server.Address, r.maxIdleConns()
+	return call
+}
+
+// newCallWithHeader returns a call that sends the request with other headers. The server
+// has to be set.
+func (r *request) newCallWithHeader(header http.Header) *upstream.Call {
 	return &upstream.Call{
-		ServerID: choice.Server.ID, Address: choice.Server.Address, Method: r.incoming.Method, Target: r.incoming.RequestURI,
-		Host: r.incoming.Host, Header: header, Body: r.incoming.Body, HasBody: r.incoming.ContentLength != 0 || methodHasBody(r.incoming.Method),
-		AttemptID: r.callerHeaders.AttemptID, Idempotent: r.route.Idempotent, MaxIdleConns: r.maxIdleConns(), Deadline: r.deadline.Add(responseMargin),
+		Method: r.incoming.Method, Target: r.incoming.RequestURI, Host: r.incoming.Host, Header: header, Body: r.incoming.Body,
+		HasBody: r.incoming.ContentLength != 0 || methodHasBody(r.incoming.Method), AttemptID: r.callerHeaders.AttemptID,
+		Idempotent: r.route.Idempotent, Deadline: r.deadline.Add(responseMargin),
 	}
 }
 
@@ -475,6 +510,7 @@
 // relayResponse passes a backend server's response on unchanged, apart from
 // hop-by-hop headers and the Content-Length.
 func (r *request) relayResponse(response *upstream.Response) *ingress.Response {
+	r.answered = true
 	hop.Remove(response.Header)
 	// The length is set again from the body that was read.
 	response.Header.Del("Content-Length")
@@ -484,6 +520,7 @@
 // giveUp returns the response to a request that is not sent to another server:
 // the newest failure response of a backend server, or a rejection.
 func (r *request) giveUp(choice placement.Choice) *ingress.Response {
+	r.rejectedFor = choice.Reason
 	switch {
 	case r.lastFailure != nil:
 		r.reason += "; " + string(choice.Reason)
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -35,7 +35,7 @@
 		return
 	}
 	n.log.Info("request", "id", r.callerHeaders.AttemptID, "status", response.Status, "account", account, "route", routeName,
-		"service", r.placement.Service, "region", r.placement.PreferredRegion, "server", r.server, "sent", r.attempts, "ms", elapsed.Milliseconds(),
+		"service", r.placement.Service, "region", r.placement.PreferredRegion, "server", r.server, "relay", r.relayVM, "sent", r.attempts, "ms", elapsed.Milliseconds(),
 		"reason", r.reason, "rank", r.placement.Priority, "expectedMS", r.expectedTime.Milliseconds(), "callerTimeoutMS", r.callerHeaders.Timeout.Milliseconds(),
 		"retryAfterMS", r.retryAfter.Milliseconds(), "config", configVersion(r), "operatorAgeMS", operatorAge.Milliseconds(), "digestAgeMS", digestAge.Milliseconds(), "counter", rateOwner, "omitted", omitted)
 }
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// CloseAllIdle closes the idle connections to all servers.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+}
+
 // CloseExpired closes connections that have been idle for too long.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
