gateway: a caller that leaves during a connect suspends no server

Cancelled dials now count as abandoned, as cancelled calls do.

TestCallerThatLeavesDuringConnectSuspendsNoServer: 1 suspended server before, 0 after.

--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -11,10 +11,13 @@
 )
 
 func isNotSent(err error) bool { return errors.Is(err, upstream.ErrNotSent) }
+func isTimeout(err error) bool { return errors.Is(err, upstream.ErrTimeout) }
+
+// isCancelled reports whether a call ended because its context did, while it was sent or
+// while its connection was being opened.
 func isCancelled(err error) bool {
 	return errors.Is(err, upstream.ErrCancelled) || errors.Is(err, context.Canceled)
 }
-func isTimeout(err error) bool { return errors.Is(err, upstream.ErrTimeout) }
 
 // attemptResult classifies the outcome of an attempt for the picker.
 func attemptResult(response *upstream.Response, err error) placement.Result {
@@ -35,7 +38,7 @@
 // attemptErrorResult classifies an attempt that brought no response.
 func attemptErrorResult(err error) placement.Result {
 	switch {
-	case errors.Is(err, upstream.ErrCancelled):
+	case isCancelled(err):
 		return placement.Abandoned
 	case isNotSent(err):
 		return placement.Unreachable
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -291,3 +291,20 @@
 		}
 	}
 }
+
+// Guards against a server that is suspended because a caller left while the connection to
+// the server was being opened.
+func TestCallerThatLeavesDuringConnectSuspendsNoServer(t *testing.T) {
+	suspended := 0
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1"}, func(f *fleet) {
+		f.setLinks("vm-1", linksHang)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		f.serve(ctx, "vm-1", "GET", "/look/x")
+		n := f.nodes["vm-1"]
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		suspended, _ = n.picker.SuspendedServers("desk")
+	})
+	require.Zero(t, suspended)
+}
