--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -308,3 +308,28 @@
 	})
 	require.Zero(t, suspended)
 }
+
+// Guards against lookups that wait until their timeout for a response that cannot come,
+// because the links were lost while they were in progress.
+func TestLookupsInProgressAreRelayedWhenLinksAreLost(t *testing.T) {
+	const lookups = 8
+	served := 0
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2"}, func(f *fleet) {
+		f.load(40, loadInterval)
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		for range lookups {
+			callers.Go(func() {
+				if f.serve(context.Background(), "vm-1", "GET", "/look/x").Status == http.StatusOK {
+					mu.Lock()
+					served++
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		f.setLinks("vm-1", linksHang)
+		callers.Wait()
+	})
+	require.Equal(t, lookups, served)
+}
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -480,7 +480,7 @@
 		return nil, true
 	}
 	r.mayHaveRun = true
-	if isTimeout(err) {
+	if isTimeout(err) && !isCancelled(err) {
 		return r.reject(http.StatusGatewayTimeout, 0, r.reason), false
 	}
 	if !r.route.Idempotent {
