gateway: open connections are used while new ones are refused

A cut may leave open connections alive and refuse new ones, at all VMs of a fleet as well. All of them then looked for a relay, none found one, and every request was rejected although open connections to all servers were idle: each refused connection suspended its server together with them.

While the links are lost and answers still arrive, requests go to servers to which an idle connection is open, without opening one; what finds none is relayed. Once the open connections bring no answers either, they are closed.

--- a/core/linkhealth/linkhealth.go
+++ b/core/linkhealth/linkhealth.go
@@ -44,9 +44,11 @@
 	// was opened, each since the last success of that kind; at most minServers of them.
 	waiting, unreachable map[string]bool
 	checking             bool
-	nextCheck            time.Duration
-	checkInterval        time.Duration
-	lost                 bool
+	// refused is set if lost links still bring answers on open connections.
+	refused       bool
+	nextCheck     time.Duration
+	checkInterval time.Duration
+	lost          bool
 	// goodChecks are the successful checks in a row, and neededChecks those that end the
 	// loss.
 	goodChecks, neededChecks int
@@ -65,6 +67,10 @@
 // Lost reports whether the links to the backend servers are lost.
 func (m *Monitor) Lost() bool { return m.lost }
 
+// OpenConnsWork reports whether only new connections fail while the links are lost, and
+// the open ones still bring answers.
+func (m *Monitor) OpenConnsWork() bool { return m.lost && m.refused }
+
 // RequestSent records that a request was sent to a server.
 func (m *Monitor) RequestSent(server string) { addServer(m.waiting, server) }
 
@@ -108,9 +114,20 @@
 	return true
 }
 
+// Silenced ends OpenConnsWork if the open connections bring no answers any more. It reports
+// whether that changed.
+func (m *Monitor) Silenced(now time.Duration, servers int) (changed bool) {
+	if !m.refused || !m.IsSilent(now, servers) {
+		return false
+	}
+	m.refused = false
+	return true
+}
+
 // CheckFinished records the result of a check: the number of servers that were tried and
-// of those that accepted a connection. It reports whether Lost changed.
-func (m *Monitor) CheckFinished(now time.Duration, tried, connected int) (changed bool) {
+// of those that accepted a connection; servers is the number of registered servers. It
+// reports whether Lost changed.
+func (m *Monitor) CheckFinished(now time.Duration, tried, connected, servers int) (changed bool) {
 	m.checking = false
 	if tried == 0 {
 		m.nextCheck = now + minCheckInterval
@@ -120,6 +137,7 @@
 		return m.lostCheckFinished(now, 2*connected > tried)
 	}
 	if connected == 0 {
+		m.refused = !m.IsSilent(now, servers)
 		m.lose(now)
 		return true
 	}
@@ -148,7 +166,7 @@
 	if m.goodChecks++; m.goodChecks < m.neededChecks {
 		return false
 	}
-	m.lost, m.restoredAt, m.lastAnswer = false, now, now
+	m.lost, m.refused, m.restoredAt, m.lastAnswer = false, false, now, now
 	m.checkInterval = minCheckInterval
 	m.nextCheck = now
 	clear(m.waiting)
--- a/core/linkhealth/linkhealth_test.go
+++ b/core/linkhealth/linkhealth_test.go
@@ -53,7 +53,7 @@
 			if s.linksWork(now) {
 				connected = 3
 			}
-			if s.monitor.CheckFinished(now, 3, connected) {
+			if s.monitor.CheckFinished(now, 3, connected, s.servers) {
 				s.transitions = append(s.transitions, now)
 			}
 		}
@@ -119,7 +119,7 @@
 	}
 	require.True(t, m.BeginCheck(time.Second, 42))
 	require.False(t, m.BeginCheck(time.Second, 42), "one check at a time")
-	require.False(t, m.CheckFinished(time.Second, 3, 1), "a server that accepts a connection is reached")
+	require.False(t, m.CheckFinished(time.Second, 3, 1, 42), "a server that accepts a connection is reached")
 	require.False(t, m.Lost())
 
 	for i := range minServers {
@@ -131,11 +131,18 @@
 		m.ConnectFailed(fmt.Sprint(i))
 	}
 	require.True(t, m.BeginCheck(10*time.Second, 42))
-	require.True(t, m.CheckFinished(10*time.Second, 3, 0))
+	require.True(t, m.CheckFinished(10*time.Second, 3, 0, 42))
 	require.True(t, m.Lost())
+	require.True(t, m.OpenConnsWork(), "no request waits")
 	require.Equal(t, lostCheckInterval, m.RetryAfter(10*time.Second))
 	require.True(t, m.BeginCheck(10*time.Second+lostCheckInterval, 42))
-	require.False(t, m.CheckFinished(10*time.Second+lostCheckInterval, 3, 1), "most servers are still not reached")
+	for i := range minServers {
+		m.RequestSent(fmt.Sprint(i))
+	}
+	require.False(t, m.Silenced(0, 42))
+	require.True(t, m.Silenced(10*time.Second, 42), "the open connections do not answer")
+	require.False(t, m.OpenConnsWork())
+	require.False(t, m.CheckFinished(10*time.Second+lostCheckInterval, 3, 1, 42), "most servers are still not reached")
 	require.True(t, m.Lost())
 }
 
@@ -145,6 +152,6 @@
 	m.ConnectFailed("s")
 	require.False(t, m.BeginCheck(time.Second, 0))
 	require.True(t, m.BeginCheck(time.Second, 1), "the only server")
-	require.False(t, m.CheckFinished(time.Second, 0, 0))
+	require.False(t, m.CheckFinished(time.Second, 0, 0, 1))
 	require.False(t, m.Lost())
 }
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -291,7 +291,7 @@
 
 func (p *Picker) usable(now time.Duration, s *server, r *Request) bool {
 	s.decayPenalties(now)
-	if s.isSuspended(now) || slices.Contains(r.Tried, s.registration.ID) {
+	if s.isSuspended(now) || slices.Contains(r.Tried, s.registration.ID) || r.Reachable != nil && !r.Reachable(s.registration.ID) {
 		return false
 	}
 	if s.isCold(now) && (!s.sharesColdRate || s.coldBucket.Tokens(now) < 1) {
--- a/core/placement/outcome.go
+++ b/core/placement/outcome.go
@@ -36,7 +36,8 @@
 	Unreachable
 	// Misdirected means that another server listens on the address.
 	Misdirected
-	// Abandoned means that the caller left, which says nothing about the server.
+	// Abandoned means that the attempt ended for a reason that says nothing about the
+	// server, such as a caller that left.
 	Abandoned
 )
 
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -66,6 +66,8 @@
 	PreferredRegion string
 	// Tried lists the IDs of the servers that already got the request.
 	Tried []string
+	// Reachable reports whether a server can be reached; nil if all can.
+	Reachable func(server string) bool
 	// OwnLimitsOnly excludes servers whose limit another VM owns.
 	OwnLimitsOnly bool
 }
--- a/entry/gateway/links.go
+++ b/entry/gateway/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/upstream"
 )
@@ -21,7 +22,7 @@
 	if trace.ConnectTime > 0 {
 		n.links.Connected()
 	}
-	if isNotSent(err) && !isCancelled(err) {
+	if err != nil && attemptErrorResult(err) == placement.Unreachable {
 		n.links.ConnectFailed(server)
 		n.checkLinks(now)
 	}
@@ -29,6 +30,11 @@
 
 // checkLinks checks the links to the backend servers if that is due. The caller holds mu.
 func (n *Node) checkLinks(now time.Duration) {
+	if n.links.Silenced(now, n.picker.Servers()) {
+		n.log.Info("open connections to backend servers do not answer")
+		n.linksCancel()
+		go n.pool.CloseAllIdle()
+	}
 	if !n.links.BeginCheck(now, n.picker.Servers()) {
 		return
 	}
@@ -72,8 +78,7 @@
 
 // linkCheckFinished handles the result of a check of the links. The caller holds mu.
 func (n *Node) linkCheckFinished(now time.Duration, tried, connected int) {
-	silent := n.links.IsSilent(now, n.picker.Servers())
-	if !n.links.CheckFinished(now, tried, connected) {
+	if !n.links.CheckFinished(now, tried, connected, n.picker.Servers()) {
 		return
 	}
 	if !n.links.Lost() {
@@ -83,11 +88,13 @@
 		return
 	}
 	n.linksLostAt = now
-	n.log.Info("links to backend servers lost", "tried", tried, "silent", silent)
-	if silent {
-		// While only new connections fail, the open ones still bring responses.
-		n.linksCancel()
+	n.log.Info("links to backend servers lost", "tried", tried, "openConnectionsWork", n.links.OpenConnsWork())
+	if n.links.OpenConnsWork() {
+		// The servers to which connections were refused are used over open ones.
+		n.picker.LinksRestored(now, now)
+		return
 	}
+	n.linksCancel()
 	go n.pool.CloseAllIdle()
 }
 
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -38,7 +38,7 @@
 // attemptErrorResult classifies an attempt that brought no response.
 func attemptErrorResult(err error) placement.Result {
 	switch {
-	case isCancelled(err):
+	case isCancelled(err), errors.Is(err, upstream.ErrNoIdleConn):
 		return placement.Abandoned
 	case isNotSent(err):
 		return placement.Unreachable
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -333,3 +333,22 @@
 	})
 	require.Equal(t, lookups, served)
 }
+
+// Guards against a fleet that rejects its callers because new connections to the servers
+// are refused, while the open ones still work. The load needs more connections than are
+// open, so that some are refused at each server.
+func TestOpenConnectionsAreUsedWhileNewOnesAreRefused(t *testing.T) {
+	const requests = 400
+	var served map[string]int
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2"}, func(f *fleet) {
+		f.load(200, highLoadInterval)
+		for vm := range f.nodes {
+			f.setLinks(vm, linksRefuse)
+		}
+		served = f.load(requests, highLoadInterval/2)
+	})
+	require.Len(t, served, 2)
+	for vm, n := range served {
+		require.GreaterOrEqual(t, n, requests*2/5, "requests served by %s", vm)
+	}
+}
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -311,15 +311,22 @@
 	if r.attempts > 0 && r.attempts >= r.route.MaxAttempts {
 		return placement.Choice{Reason: "all attempts used"}, false
 	}
-	if n.links.Lost() {
+	if n.links.Lost() && !n.links.OpenConnsWork() {
 		return placement.Choice{Reason: placement.LinksLost, RetryAfter: n.links.RetryAfter(n.now())}, false
 	}
+	r.placement.Reachable = nil
+	if n.links.OpenConnsWork() {
+		r.placement.Reachable = func(server string) bool { return n.pool.HasIdle(server, r.route.Idempotent) }
+	}
 	if r.connectFailures > maxConnectFailures {
 		return placement.Choice{Reason: placement.NoServer, RetryAfter: unconfiguredRetryAfter}, false
 	}
 	r.placement.Remaining = time.Until(r.deadline)
 	r.placement.Waited = time.Since(r.incoming.Arrived)
 	choice = n.picker.Pick(n.now(), &r.placement)
+	if choice.Server == nil && n.links.Lost() {
+		choice.Reason = placement.LinksLost
+	}
 	r.expectedTime = choice.ExpectedLatency
 	if choice.Server == nil || choice.LimitOwner != "" {
 		return choice, choice.Server != nil
@@ -439,6 +446,7 @@
 	adapter.SetRequestHeaders(header, choice.Server.ID, account, remaining)
 	call := r.newCallWithHeader(header)
 	call.ServerID, call.Address, call.MaxIdleConns = choice.Server.ID, choice.Server.Address, r.maxIdleConns()
+	call.IdleConnOnly = r.placement.Reachable != nil
 	return call
 }
 
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -50,6 +50,8 @@
 	Idempotent bool
 	// MaxIdleConns is the number of connections to the server that are kept idle.
 	MaxIdleConns int
+	// IdleConnOnly is set if no connection may be opened.
+	IdleConnOnly bool
 	// Deadline is when the whole response must have been read.
 	Deadline time.Time
 }
@@ -110,6 +112,9 @@
 			return c, nil
 		}
 	}
+	if call.IdleConnOnly {
+		return nil, ErrNoIdleConn
+	}
 	begin := time.Now()
 	connectDeadline := begin.Add(connectTimeout)
 	if call.Deadline.Before(connectDeadline) {
--- a/entry/upstream/errors.go
+++ b/entry/upstream/errors.go
@@ -7,6 +7,8 @@
 	// ErrNotSent means that the request was not sent, because there was no
 	// usable connection.
 	ErrNotSent = errors.New("request not sent")
+	// ErrNoIdleConn is the cause of ErrNotSent for a call that may open no connection.
+	ErrNoIdleConn = errors.New("no idle connection")
 	// ErrStale means that the server closed a reused connection before any byte
 	// of a response arrived. The request may have run.
 	ErrStale = errors.New("reused connection was closed by the server")
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -66,12 +66,17 @@
 	reused    bool
 }
 
+// maxIdleFor returns how long a connection may have been idle to be reused.
+func maxIdleFor(idempotent bool) time.Duration {
+	if idempotent {
+		return maxIdleTime
+	}
+	return maxIdleTimeNonIdempotent
+}
+
 // takeIdle returns an idle connection that looks usable, or nil.
 func (p *Pool) takeIdle(serverID string, idempotent bool) *conn {
-	maxIdle := maxIdleTime
-	if !idempotent {
-		maxIdle = maxIdleTimeNonIdempotent
-	}
+	maxIdle := maxIdleFor(idempotent)
 	for {
 		c := p.pop(serverID)
 		if c == nil {
@@ -96,6 +101,18 @@
 	}
 }
 
+// HasIdle reports whether there is an idle connection to a server that a request may use.
+func (p *Pool) HasIdle(serverID string, idempotent bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[serverID]
+	if len(list) == 0 {
+		return false
+	}
+	newest := list[len(list)-1]
+	return time.Since(newest.idleSince) < min(maxIdleFor(idempotent), newest.idleLimit)
+}
+
 func (p *Pool) pop(serverID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
