--- /dev/null
+++ b/entry/gateway/fleet_test.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/entry/ingress"
+)
+
+// linkState is what happens to the connections between a VM and the backend servers.
+type linkState int
+
+const (
+	linksUp linkState = iota
+	// linksHang lose the bytes of all connections.
+	linksHang
+	// linksReset close open connections and lose the bytes of new ones.
+	linksReset
+	// linksRefuse refuse new connections, while open ones work.
+	linksRefuse
+)
+
+// fleet is a fleet of nodes in virtual time. The links of each VM to the backend servers
+// have a state of their own.
+type fleet struct {
+	nodes    map[string]*Node
+	backends *standInBackends
+	// relays are the listeners for relayed requests, by address.
+	relays map[string]*pipeListener
+	// withoutRelay holds the addresses of VMs of an earlier version, which do not listen.
+	withoutRelay map[string]bool
+
+	mu         sync.Mutex
+	links      map[string]linkState
+	conns      map[*linkConn]bool
+	relayConns []net.Conn
+}
+
+// pipeListener accepts connections within the process.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) dial() (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errRefused
+	}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return nil }
+
+// vmDialer opens connections to backend servers on behalf of one VM.
+type vmDialer struct {
+	fleet *fleet
+	vm    string
+}
+
+var errRefused = errors.New("connection refused")
+
+// DialContext implements upstream.Dialer.
+func (d *vmDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.fleet.withoutRelay[address] {
+		return nil, errRefused
+	}
+	if l := d.fleet.relays[address]; l != nil {
+		c, err := l.dial()
+		d.fleet.mu.Lock()
+		defer d.fleet.mu.Unlock()
+		d.fleet.relayConns = append(d.fleet.relayConns, c)
+		return c, err
+	}
+	switch d.fleet.linksOf(d.vm) {
+	case linksHang, linksReset:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case linksRefuse:
+		return nil, errRefused
+	}
+	nc, err := d.fleet.backends.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &linkConn{Conn: nc, fleet: d.fleet, vm: d.vm}
+	d.fleet.mu.Lock()
+	d.fleet.conns[c] = true
+	d.fleet.mu.Unlock()
+	return c, nil
+}
+
+// linkConn is a connection from a VM to a backend server.
+type linkConn struct {
+	net.Conn
+	fleet *fleet
+	vm    string
+}
+
+// Write implements net.Conn.
+func (c *linkConn) Write(p []byte) (int, error) {
+	if c.fleet.linksOf(c.vm) == linksHang {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn. Responses that arrive while the links hang are lost.
+func (c *linkConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || c.fleet.linksOf(c.vm) != linksHang {
+			return n, err
+		}
+	}
+}
+
+func (f *fleet) linksOf(vm string) linkState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links[vm]
+}
+
+// setLinks sets the state of a VM's links to the backend servers.
+func (f *fleet) setLinks(vm string, state linkState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links[vm] = state
+	for c := range f.conns {
+		if c.vm == vm && state == linksReset {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
+// fleetConfig returns a configuration with the limits that requests need to be read from
+// a connection.
+func fleetConfig(accounts ...*steering.Account) *steering.Config {
+	config := testConfig(accounts...)
+	config.Limits = steering.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	return config
+}
+
+// fleetServers is the number of backend servers of a fleet.
+const fleetServers = 12
+
+// regionOf returns the region of a VM. All servers are in the region north.
+func regionOf(vm string) string {
+	if vm == "vm-south" {
+		return "south"
+	}
+	return "north"
+}
+
+// vmIP returns the address of a VM.
+func vmIP(vm string) string { return fmt.Sprintf("127.0.1.%d", vm[len(vm)-1]) }
+
+// runFleet runs a test with a fleet of nodes in virtual time.
+func runFleet(t *testing.T, respond func(*http.Request) string, config *steering.Config, vms []string, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		f := &fleet{
+			nodes: make(map[string]*Node), backends: &standInBackends{handlers: make(map[string]func(*http.Request) string)},
+			links: make(map[string]linkState), conns: make(map[*linkConn]bool), relays: make(map[string]*pipeListener), withoutRelay: make(map[string]bool),
+		}
+		var servers []catalog.RowChange[steering.Server]
+		for i := range fleetServers {
+			id := fmt.Sprintf("s%d", i)
+			f.backends.handlers[id] = respond
+			servers = append(servers, catalog.RowChange[steering.Server]{Key: id, Position: 1, Value: &steering.Server{
+				ID: id, Service: "desk", Address: id, FailureDomain: []string{"a", "b"}[i%2], Region: "north", Slots: 8,
+			}})
+		}
+		var rows []catalog.RowChange[steering.VM]
+		for _, vm := range vms {
+			rows = append(rows, catalog.RowChange[steering.VM]{Key: vm, Position: 1, Value: &steering.VM{
+				Name: vm, FailureDomain: "a", Region: regionOf(vm), FrontAddress: vm + ":8206", PeerAddress: vmIP(vm) + ":unused", Weight: 1,
+			}})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, vm := range vms {
+			settings := testSettings()
+			settings.VM, settings.IP, settings.PeerPort, settings.Region = vm, vmIP(vm), 7600, regionOf(vm)
+			n := newNode(settings, logr.Discard(), &vmDialer{f, vm}, nil)
+			f.nodes[vm] = n
+			n.mu.Lock()
+			n.catalog.ApplyConfig(config)
+			n.catalog.MarkOperatorLoaded()
+			n.catalog.LoadServers(0, 1, servers)
+			n.catalog.LoadVMs(0, 1, rows)
+			n.publishView(0)
+			n.mu.Unlock()
+			l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+			f.relays[joinHostPort(vmIP(vm), n.relayPort())] = l
+			go func() { _ = n.relayServer.Serve(l) }()
+			go n.tickLoop(ctx)
+		}
+		test(f)
+		cancel()
+		for _, l := range f.relays {
+			_ = l.Close()
+		}
+		for _, n := range f.nodes {
+			n.relayPool.CloseAllIdle()
+		}
+		f.mu.Lock()
+		for c := range f.conns {
+			_ = c.Conn.Close()
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Minute)
+	})
+}
+
+// serve sends a request to a VM.
+func (f *fleet) serve(ctx context.Context, vm, method, target string) *ingress.Response {
+	return (&handler{f.nodes[vm]}).Serve(ctx, newRequest(method, target))
+}
+
+// load sends requests to each VM, lookups and bookings in turn, and returns the number of
+// requests that were served by VM. The requests of a VM overlap.
+func (f *fleet) load(perVM int, interval time.Duration) map[string]int {
+	served := make(map[string]int)
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for i := range perVM {
+		for vm := range f.nodes {
+			callers.Go(func() {
+				method, target := "GET", "/look/x"
+				if i%2 == 1 {
+					method, target = "POST", "/book/x"
+				}
+				if f.serve(context.Background(), vm, method, target).Status == http.StatusOK {
+					mu.Lock()
+					served[vm]++
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return served
+}
+
+// loseLinks makes a VM lose its links to the backend servers and waits until it has
+// noticed.
+func (f *fleet) loseLinks(vm string) {
+	f.setLinks(vm, linksReset)
+	n := f.nodes[vm]
+	for {
+		n.mu.Lock()
+		lost := n.links.Lost()
+		for i := range fleetServers {
+			n.links.ConnectFailed(fmt.Sprintf("s%d", i))
+		}
+		n.mu.Unlock()
+		if lost {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -3,256 +3,20 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/relay"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 )
 
-// linkState is what happens to the connections between a VM and the backend servers.
-type linkState int
-
-const (
-	linksUp linkState = iota
-	// linksHang lose the bytes of all connections.
-	linksHang
-	// linksReset close open connections and lose the bytes of new ones.
-	linksReset
-	// linksRefuse refuse new connections, while open ones work.
-	linksRefuse
-)
-
-// fleet is a fleet of nodes in virtual time. The links of each VM to the backend servers
-// have a state of their own.
-type fleet struct {
-	nodes    map[string]*Node
-	backends *standInBackends
-	// relays are the listeners for relayed requests, by address.
-	relays map[string]*pipeListener
-
-	mu    sync.Mutex
-	links map[string]linkState
-	conns map[*linkConn]bool
-}
-
-// pipeListener accepts connections within the process.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-func (l *pipeListener) dial() (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case l.conns <- server:
-		return client, nil
-	case <-l.closed:
-		return nil, errRefused
-	}
-}
-
-// Accept implements net.Listener.
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *pipeListener) Addr() net.Addr { return nil }
-
-// vmDialer opens connections to backend servers on behalf of one VM.
-type vmDialer struct {
-	fleet *fleet
-	vm    string
-}
-
-var errRefused = errors.New("connection refused")
-
-// DialContext implements upstream.Dialer.
-func (d *vmDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if l := d.fleet.relays[address]; l != nil {
-		return l.dial()
-	}
-	switch d.fleet.linksOf(d.vm) {
-	case linksHang, linksReset:
-		<-ctx.Done()
-		return nil, ctx.Err()
-	case linksRefuse:
-		return nil, errRefused
-	}
-	nc, err := d.fleet.backends.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	c := &linkConn{Conn: nc, fleet: d.fleet, vm: d.vm}
-	d.fleet.mu.Lock()
-	d.fleet.conns[c] = true
-	d.fleet.mu.Unlock()
-	return c, nil
-}
-
-// linkConn is a connection from a VM to a backend server.
-type linkConn struct {
-	net.Conn
-	fleet *fleet
-	vm    string
-}
-
-// Write implements net.Conn.
-func (c *linkConn) Write(p []byte) (int, error) {
-	if c.fleet.linksOf(c.vm) == linksHang {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-// Read implements net.Conn. Responses that arrive while the links hang are lost.
-func (c *linkConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if err != nil || c.fleet.linksOf(c.vm) != linksHang {
-			return n, err
-		}
-	}
-}
-
-func (f *fleet) linksOf(vm string) linkState {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.links[vm]
-}
-
-// setLinks sets the state of a VM's links to the backend servers.
-func (f *fleet) setLinks(vm string, state linkState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.links[vm] = state
-	for c := range f.conns {
-		if c.vm == vm && state == linksReset {
-			_ = c.Conn.Close()
-		}
-	}
-}
-
-// fleetConfig returns a configuration with the limits that requests need to be read from
-// a connection.
-func fleetConfig(accounts ...*steering.Account) *steering.Config {
-	config := testConfig(accounts...)
-	config.Limits = steering.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
-	return config
-}
-
-// fleetServers is the number of backend servers of a fleet.
-const fleetServers = 12
-
-// runFleet runs a test with a fleet of nodes of one region in virtual time.
-func runFleet(t *testing.T, respond func(*http.Request) string, config *steering.Config, vms []string, test func(f *fleet)) {
-	t.Helper()
-	synctest.Test(t, func(*testing.T) {
-		f := &fleet{
-			nodes: make(map[string]*Node), backends: &standInBackends{handlers: make(map[string]func(*http.Request) string)},
-			links: make(map[string]linkState), conns: make(map[*linkConn]bool), relays: make(map[string]*pipeListener),
-		}
-		var servers []catalog.RowChange[steering.Server]
-		for i := range fleetServers {
-			id := fmt.Sprintf("s%d", i)
-			f.backends.handlers[id] = respond
-			servers = append(servers, catalog.RowChange[steering.Server]{Key: id, Position: 1, Value: &steering.Server{
-				ID: id, Service: "desk", Address: id, FailureDomain: []string{"a", "b"}[i%2], Region: "north", Slots: 8,
-			}})
-		}
-		var rows []catalog.RowChange[steering.VM]
-		for _, vm := range vms {
-			rows = append(rows, catalog.RowChange[steering.VM]{Key: vm, Position: 1, Value: &steering.VM{
-				Name: vm, FailureDomain: "a", Region: "north", FrontAddress: vm + ":8206", PeerAddress: vm + ":7600", Weight: 1,
-			}})
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		for _, vm := range vms {
-			settings := testSettings()
-			settings.VM, settings.IP, settings.PeerPort = vm, vm, 7600
-			n := newNode(settings, logr.Discard(), &vmDialer{f, vm}, nil)
-			f.nodes[vm] = n
-			n.mu.Lock()
-			n.catalog.ApplyConfig(config)
-			n.catalog.MarkOperatorLoaded()
-			n.catalog.LoadServers(0, 1, servers)
-			n.catalog.LoadVMs(0, 1, rows)
-			n.publishView(0)
-			n.mu.Unlock()
-			l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-			f.relays[joinHostPort(vm, n.relayPort())] = l
-			go func() { _ = n.relayServer.Serve(l) }()
-			go n.tickLoop(ctx)
-		}
-		test(f)
-		cancel()
-		for _, l := range f.relays {
-			_ = l.Close()
-		}
-		for _, n := range f.nodes {
-			n.relayPool.CloseAllIdle()
-		}
-		f.mu.Lock()
-		for c := range f.conns {
-			_ = c.Conn.Close()
-		}
-		f.mu.Unlock()
-		time.Sleep(time.Minute)
-	})
-}
-
-// serve sends a request to a VM.
-func (f *fleet) serve(ctx context.Context, vm, method, target string) *ingress.Response {
-	return (&handler{f.nodes[vm]}).Serve(ctx, newRequest(method, target))
-}
-
-// load sends requests to each VM, lookups and bookings in turn, and returns the number of
-// requests that were served by VM. The requests of a VM overlap.
-func (f *fleet) load(perVM int, interval time.Duration) map[string]int {
-	served := make(map[string]int)
-	var mu sync.Mutex
-	var callers sync.WaitGroup
-	for i := range perVM {
-		for vm := range f.nodes {
-			callers.Go(func() {
-				method, target := "GET", "/look/x"
-				if i%2 == 1 {
-					method, target = "POST", "/book/x"
-				}
-				if f.serve(context.Background(), vm, method, target).Status == http.StatusOK {
-					mu.Lock()
-					served[vm]++
-					mu.Unlock()
-				}
-			})
-		}
-		time.Sleep(interval)
-	}
-	callers.Wait()
-	return served
-}
-
 // slowly responds after the time that a server works on a request.
 func slowly(r *http.Request) string {
 	time.Sleep(150 * time.Millisecond)
@@ -352,3 +116,196 @@
 		require.GreaterOrEqual(t, n, requests*2/5, "requests served by %s", vm)
 	}
 }
+
+// Guards against a relayed booking that runs twice, and against telling the caller that it
+// did not run, when the relay or its response is lost.
+func TestRelayedBookingWhoseResponseIsLost(t *testing.T) {
+	var booking, lookup *ingress.Response
+	var bookings, lookups int
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2", "vm-3", "vm-4"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		breakRelayConns := func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, c := range f.relayConns {
+				_ = c.Close()
+			}
+		}
+		time.AfterFunc(100*time.Millisecond, breakRelayConns)
+		booking = f.serve(context.Background(), "vm-1", "POST", "/book/x")
+		bookings = len(f.backends.receivedRequests())
+		time.AfterFunc(100*time.Millisecond, breakRelayConns)
+		lookup = f.serve(context.Background(), "vm-1", "GET", "/look/x")
+		lookups = len(f.backends.receivedRequests()) - bookings
+	})
+	require.Equal(t, http.StatusBadGateway, booking.Status, "the outcome is unknown")
+	require.Equal(t, 1, bookings)
+	require.Equal(t, http.StatusOK, lookup.Status, "an idempotent request goes through another relay")
+	require.Equal(t, 2, lookups)
+}
+
+// Guards against requests that are sent around between VMs that all have lost their links,
+// that are held, or whose rejection has no true Retry-After.
+func TestNoRelayIsLeft(t *testing.T) {
+	vms := []string{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"}
+	var first, second *ingress.Response
+	var took, retryAfter time.Duration
+	calls := 0
+	runFleet(t, slowly, fleetConfig(), vms, func(f *fleet) {
+		for _, vm := range vms {
+			f.loseLinks(vm)
+		}
+		begin := time.Now()
+		first = f.serve(context.Background(), "vm-1", "POST", "/book/x")
+		took = time.Since(begin)
+		calls = len(f.relayConns)
+		seconds, _ := strconv.ParseFloat(first.Header.Get("Retry-After"), 64)
+		retryAfter = time.Duration(seconds * float64(time.Second))
+		for _, vm := range vms {
+			f.setLinks(vm, linksUp)
+		}
+		time.Sleep(2 * time.Second)
+		second = f.serve(context.Background(), "vm-1", "POST", "/book/x")
+		require.Len(t, f.backends.receivedRequests(), 1)
+	})
+	require.Equal(t, http.StatusServiceUnavailable, first.Status)
+	require.Zero(t, took, "a rejection comes at once")
+	require.LessOrEqual(t, calls, relay.MaxTries, "relays relay nothing")
+	require.GreaterOrEqual(t, retryAfter, shedRetryAfter)
+	require.LessOrEqual(t, retryAfter, time.Second)
+	require.Equal(t, http.StatusOK, second.Status)
+}
+
+// Guards against VMs of earlier versions, which do not listen for relayed requests, that
+// leave the outcome of a booking unknown.
+func TestVMsOfEarlierVersionsRelayNothing(t *testing.T) {
+	var statuses []int
+	executed := 0
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2", "vm-3", "vm-4"}, func(f *fleet) {
+		for _, vm := range []string{"vm-2", "vm-3"} {
+			f.withoutRelay[joinHostPort(vmIP(vm), f.nodes[vm].relayPort())] = true
+		}
+		f.loseLinks("vm-1")
+		for range 5 {
+			statuses = append(statuses, f.serve(context.Background(), "vm-1", "POST", "/book/x").Status)
+		}
+		executed = len(f.backends.receivedRequests())
+	})
+	require.Equal(t, []int{200, 200, 200, 200, 200}, statuses)
+	require.Equal(t, 5, executed)
+}
+
+// Guards against a relayed request that reaches its server changed or with the caller's
+// key, and against a response that reaches the caller changed.
+func TestRelayedRequestIsUnchanged(t *testing.T) {
+	var response *ingress.Response
+	var received *http.Request
+	runFleet(t, respondWith(200, "hello"), fleetConfig(), []string{"vm-1", "vm-2"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		in := newRequest("PUT", "/look/%2Fx?y=1", "X-Tenant", "forged", "Accept", "text/plain", "Cassiawind-Relay", "forged")
+		in.Body, in.ContentLength = []byte("body"), 4
+		response = (&handler{f.nodes["vm-1"]}).Serve(context.Background(), in)
+		received = f.backends.lastRequest()
+	})
+	require.Equal(t, 200, response.Status)
+	require.Equal(t, "hello", string(response.Body))
+	require.Equal(t, "seal", response.Header.Get("X-Server-Seal"))
+	require.Empty(t, response.Header.Get("Cassiawind-Relay-Result"))
+	require.Equal(t, "PUT /look/%2Fx?y=1", received.Method+" "+received.RequestURI)
+	require.EqualValues(t, 4, received.ContentLength)
+	require.Equal(t, "t1", received.Header.Get("X-Tenant"))
+	require.Equal(t, "text/plain", received.Header.Get("Accept"))
+	require.Equal(t, "id1", received.Header.Get("X-Attempt-Id"))
+	require.True(t, strings.HasPrefix(received.Header.Get("X-Expect-Instance"), "s"))
+	for _, name := range []string{"Authorization", "Cassiawind-Relay"} {
+		require.Empty(t, received.Header.Get(name))
+	}
+}
+
+// Guards against an account that gets more than its rate, or is charged twice, because its
+// requests are relayed.
+func TestRelayedRequestsCountOnce(t *testing.T) {
+	account := &steering.Account{Name: "t1", Keys: []string{"k1"}, RatePerSecond: 10, Burst: 10}
+	served := 0
+	var elapsed time.Duration
+	runFleet(t, respondWith(200, ""), fleetConfig(account), []string{"vm-1", "vm-2"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		begin := time.Now()
+		defer func() { elapsed = time.Since(begin) }()
+		for range 60 {
+			if f.serve(context.Background(), "vm-1", "GET", "/look/x").Status == 200 {
+				served++
+			}
+		}
+	})
+	require.LessOrEqual(t, float64(served), (10*elapsed.Seconds()+10)*1.1+20, "within %v", elapsed)
+	require.GreaterOrEqual(t, served, 5)
+}
+
+// Guards against a request that leaves its home regions on the way to a relay.
+func TestRelaysAreInHomeRegions(t *testing.T) {
+	var homed, open *ingress.Response
+	runFleet(t, slowly, fleetConfig(&steering.Account{Name: "t1", Keys: []string{"k1"}, HomeRegions: []string{"north"}}), []string{"vm-1", "vm-south"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		homed = f.serve(context.Background(), "vm-1", "GET", "/look/x")
+	})
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-south"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		open = f.serve(context.Background(), "vm-1", "GET", "/look/x")
+	})
+	require.Equal(t, 503, homed.Status)
+	require.Equal(t, 200, open.Status)
+}
+
+// Guards against relayed requests that exceed the limit that a server names.
+func TestRelayedRequestsKeepToNamedLimits(t *testing.T) {
+	const limit = 2.0
+	var mu sync.Mutex
+	arrivals := make(map[string][]time.Time)
+	limited := func(r *http.Request) string {
+		mu.Lock()
+		server := r.Header.Get("X-Expect-Instance")
+		arrivals[server] = append(arrivals[server], time.Now())
+		mu.Unlock()
+		return strings.Replace(respondWith(200, "ok")(r), "\r\n", "\r\nServer-Limit: 2\r\n", 1)
+	}
+	start := time.Now()
+	runFleet(t, limited, fleetConfig(), []string{"vm-1", "vm-2"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		start = time.Now()
+		for time.Since(start) < 14*time.Second {
+			reportTo(f.nodes["vm-2"], "vm-2")
+			f.serve(context.Background(), "vm-1", "GET", "/look/x")
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	used := 0
+	for server, times := range arrivals {
+		late := 0
+		for _, at := range times {
+			if at.Sub(start) >= 10*time.Second {
+				late++
+			}
+		}
+		used += late
+		require.LessOrEqual(t, float64(late), 1.5*limit*4+5, "requests of server %s in 4 s", server)
+	}
+	require.Greater(t, used, fleetServers, "the servers are used up to their limits")
+}
+
+// Guards against checks of the links, relayed requests or any other cost while the links
+// work.
+func TestWorkingLinksCostNothing(t *testing.T) {
+	checks, relayConns := uint64(0), 0
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2"}, func(f *fleet) {
+		f.load(1000, loadInterval)
+		for _, n := range f.nodes {
+			n.mu.Lock()
+			checks += n.linkChecks
+			n.mu.Unlock()
+		}
+		relayConns = len(f.relayConns)
+	})
+	require.Zero(t, checks)
+	require.Zero(t, relayConns)
+}
--- a/entry/gateway/serverlimit_test.go
+++ b/entry/gateway/serverlimit_test.go
@@ -54,11 +54,14 @@
 }
 
 // reportToSelf makes the node the only VM of its fleet, and its own hub.
-func reportToSelf(n *Node) {
+func reportToSelf(n *Node) { reportTo(n, "vm-1") }
+
+// reportTo makes a node, whose name is vm, the only VM of its fleet and its own hub.
+func reportTo(n *Node, vm string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	n.peers.SetRoster([]exchange.Member{{Name: "vm-1", Region: "north"}})
+	n.peers.SetRoster([]exchange.Member{{Name: vm, Region: "north"}})
 	n.peers.HandleReport(now, n.peers.Report(now, "north", nil, exchange.Work{}, true))
 	for _, d := range n.peers.Digests(now) {
 		n.handleMessage(now, peerMessage{Digest: &d})
