--- a/entry/gateway/fleet_test.go
+++ b/entry/gateway/fleet_test.go
@@ -204,7 +204,8 @@
 		var rows []catalog.RowChange[steering.VM]
 		for _, vm := range vms {
 			rows = append(rows, catalog.RowChange[steering.VM]{Key: vm, Position: 1, Value: &steering.VM{
-				Name: vm, FailureDomain: "a", Region: regionOf(vm), FrontAddress: vm + ":8206", PeerAddress: vmIP(vm) + ":unused", Weight: 1,
+				// The nodes have no socket for messages to this port, which needs no look-up.
+				Name: vm, FailureDomain: "a", Region: regionOf(vm), FrontAddress: vm + ":8206", PeerAddress: vmIP(vm) + ":99999", Weight: 1,
 			}})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
