upstream: bytes without end from a server are bounded

Backend servers in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. What callers saw: a request that waited until its deadline while the process read on; of the heads, interim ones included, without any bound of memory, and of each body up to 32 MB, so that a few dozen such responses exceeded the 184 MB of the smallest VMs. An announced length was allocated at once.

All heads of a response may take 64 KB together, and all bodies that are being read 64 MB; at most 1 MB is allocated because of an announced length, and counted. What exceeds a bound ends the connection and is a malformed response at once: an idempotent request goes to another server, others get 502.

--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,8 +17,6 @@
 )
 
 const (
-	// maxResponseBytes bounds the size of a response's body.
-	maxResponseBytes = 32 << 20
 	// maxSkippedResponses bounds the responses to other requests that one call
 	// skips on its connection.
 	maxSkippedResponses = 2
@@ -127,7 +124,8 @@
 		return nil, err
 	}
 	trace.ConnectTime = time.Since(begin)
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), serverID: call.ServerID}, nil
+	headLimit := &headLimitReader{r: nc, remaining: unlimited}
+	return &conn{Conn: nc, headLimit: headLimit, br: bufio.NewReaderSize(headLimit, readBufferBytes), serverID: call.ServerID, memory: &p.bodyMemory}, nil
 }
 
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -219,15 +217,17 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, false, c.noResponseError(err)
 	}
+	c.headLimit.remaining = maxHeadBytes - c.br.Buffered()
 	httpResponse, err := http.ReadResponse(c.br, &http.Request{Method: call.Method})
 	for err == nil && httpResponse.StatusCode >= 100 && httpResponse.StatusCode < 200 {
 		httpResponse, err = http.ReadResponse(c.br, &http.Request{Method: call.Method})
 	}
+	c.headLimit.remaining = unlimited
 	if err != nil {
 		return nil, false, c.badResponseError(err)
 	}
 	serverHeaders := adapter.ReadServerHeaders(httpResponse.StatusCode, httpResponse.Header)
-	body, err := readBody(httpResponse)
+	body, err := readBody(httpResponse, c.memory)
 	if err != nil {
 		return nil, false, c.badResponseError(err)
 	}
@@ -246,29 +246,6 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
-func readBody(r *http.Response) ([]byte, error) {
-	if r.ContentLength == 0 || r.Request.Method == http.MethodHead {
-		return nil, nil
-	}
-	if r.ContentLength > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, err
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
-	return body, err
-}
-
-var errResponseTooLarge = errors.New("response too large")
-
 // noResponseError returns the error for a connection that failed before a
 // response began.
 func (c *conn) noResponseError(err error) error {
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -46,7 +46,8 @@
 
 // Pool reuses connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	dialer Dialer
+	dialer     Dialer
+	bodyMemory bodyMemory
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -58,8 +59,10 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	br       *bufio.Reader
-	serverID string
+	headLimit *headLimitReader
+	br        *bufio.Reader
+	serverID  string
+	memory    *bodyMemory
 	// idleSince and idleLimit apply while the connection is idle.
 	idleSince time.Time
 	idleLimit time.Duration
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,15 @@
 
 // scriptedServer is a backend server whose connections follow one script each.
 type scriptedServer struct {
-	scripts   []func(c net.Conn, br *bufio.Reader)
+	scripts []func(c net.Conn, br *bufio.Reader)
+
+	mu        sync.Mutex
 	dialCount int
 }
 
 func (s *scriptedServer) DialContext(context.Context, string, string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.dialCount >= len(s.scripts) {
 		return nil, errors.New("refused")
 	}
