gateway: the first poll after a failed one is short

Cause, from the logs of a failing run: once a poll of the servers' table has failed, or was cancelled because that of another table did, the store counts as unavailable until the next poll returns, and while nothing changes that takes 10 s. Until then, and for the time in which writers repeat their rows after it, registrations that the store no longer has are kept. The first poll after a failure is now held for 100 ms at most: one more call to the store for each table and failure.

--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -20,6 +20,9 @@
 	// polls.
 	operatorPollWait     = 700 * time.Millisecond
 	registrationPollWait = 10 * time.Second
+	// recoveryPollWait is how long the store holds the first poll after a failed one. Until
+	// it returns, the table counts as unavailable.
+	recoveryPollWait = 100 * time.Millisecond
 	// operatorPollMargin and registrationPollMargin are added before a poll
 	// counts as lost.
 	operatorPollMargin     = 500 * time.Millisecond
@@ -80,7 +83,11 @@
 			n.sleep(ctx, hubCheckInterval)
 			continue
 		}
-		rows, full, err := n.readOrWatch(ctx, w, loaded && !w.needsFullRead, known)
+		pollWait := w.pollWait
+		if unavailable {
+			pollWait = recoveryPollWait
+		}
+		rows, full, err := n.readOrWatch(ctx, w, loaded && !w.needsFullRead, known, pollWait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -150,11 +157,11 @@
 		n.publishView(now)
 	}
 	n.replicas.update(w.table, full, rows)
+	n.peers.SetStoreEra(era)
+	n.store.RaiseEra(era)
 	if loaded && era > versionBefore.Era() {
 		n.logRestoration(w.table, versionBefore, rows.Position)
 	}
-	n.peers.SetStoreEra(era)
-	n.store.RaiseEra(era)
 	if versionAfter, _ := n.replicas.version(w.table); versionAfter > versionBefore {
 		wake(n.heartbeatWake)
 	}
@@ -212,19 +219,19 @@
 
 // readOrWatch reads a table in full, or waits for its changes if it was loaded
 // before. The bool is true for a full read.
-func (n *Node) readOrWatch(ctx context.Context, w *watcher, loaded bool, known platform.Position) (adapter.Rows, bool, error) {
+func (n *Node) readOrWatch(ctx context.Context, w *watcher, loaded bool, known platform.Position, pollWait time.Duration) (adapter.Rows, bool, error) {
 	if !loaded {
 		ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 		defer cancel()
 		rows, err := n.store.Read(ctx, w.table)
 		return rows, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.pollWait+w.pollMargin)
+	ctx, cancel := context.WithTimeout(ctx, pollWait+w.pollMargin)
 	defer cancel()
 	watchCtx := n.watchContext()
 	stop := context.AfterFunc(watchCtx, cancel)
 	defer stop()
-	rows, err := n.store.Watch(ctx, w.table, known, w.pollWait)
+	rows, err := n.store.Watch(ctx, w.table, known, pollWait)
 	return rows, false, err
 }
 
