gateway: a restoration of the store ends the polls of all tables

A restoration ends no poll. The table that shows a new era first now ends the other polls, which are then read in full. This does not count as a failed watch.

TestRestorationEndsThePollsOfAllTables: the servers' and the VMs' tables are still of era 0 after 1.7 s on the code before, of era 1 now.

--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -100,7 +100,7 @@
 	// that are in progress.
 	watchMu     sync.Mutex
 	watchCtx    context.Context
-	watchCancel context.CancelFunc
+	watchCancel context.CancelCauseFunc
 
 	// peerConn is the UDP socket for messages between VMs. An error in
 	// fatalErrors ends Run.
@@ -178,7 +178,7 @@
 	n.options.Store(&options)
 	n.view.Store(&catalog.View{})
 	n.storeLastSeenAt.Store(math.MinInt64 / 2)
-	n.resetWatches()
+	n.resetWatches(nil)
 	n.watchers = map[string]*watcher{
 		adapter.TableOperator: n.operatorWatcher(), adapter.TableServers: n.serversWatcher(), adapter.TableVMs: n.vmsWatcher(),
 	}
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -91,6 +91,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errEraRaised) {
+			continue
+		}
 		if errors.Is(err, adapter.ErrHistoryTruncated) || errors.Is(err, adapter.ErrEraChanged) {
 			n.log.Info("store no longer has the changes; reading the table in full", "table", w.table, "version", known.Version(), "error", err.Error())
 			w.needsFullRead = true
@@ -104,7 +107,7 @@
 				w.onLost()
 			}
 			n.metrics.Count(1, "store_calls", w.table, "failed")
-			n.resetWatches()
+			n.resetWatches(errOtherWatchFailed)
 			n.sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
@@ -161,6 +164,8 @@
 	n.store.RaiseEra(era)
 	if loaded && era > versionBefore.Era() {
 		n.logRestoration(w.table, versionBefore, rows.Position)
+		// A restoration ends no poll, so that the other tables would stay behind.
+		n.resetWatches(errEraRaised)
 	}
 	if versionAfter, _ := n.replicas.version(w.table); versionAfter > versionBefore {
 		wake(n.heartbeatWake)
@@ -200,15 +205,23 @@
 	return loaded && n.now()-time.Duration(n.storeLastSeenAt.Load()) < storeContactValidity && !n.operatorUnavailable.Load() && !n.serversUnavailable.Load()
 }
 
-// resetWatches cancels the polls in progress: if one connection to the store
-// stopped responding, the others may have as well.
-func (n *Node) resetWatches() {
+// Causes for which polls in progress are cancelled.
+var (
+	// errOtherWatchFailed means that a poll of another table failed: if one connection to
+	// the store stopped responding, the others may have as well.
+	errOtherWatchFailed = errors.New("watch of another table failed")
+	// errEraRaised means that another table shows a new era of the store.
+	errEraRaised = errors.New("store has a new era")
+)
+
+// resetWatches cancels the polls in progress.
+func (n *Node) resetWatches(cause error) {
 	n.watchMu.Lock()
 	defer n.watchMu.Unlock()
 	if n.watchCancel != nil {
-		n.watchCancel()
+		n.watchCancel(cause)
 	}
-	n.watchCtx, n.watchCancel = context.WithCancel(context.Background())
+	n.watchCtx, n.watchCancel = context.WithCancelCause(context.Background())
 }
 
 func (n *Node) watchContext() context.Context {
@@ -232,6 +245,9 @@
 	stop := context.AfterFunc(watchCtx, cancel)
 	defer stop()
 	rows, err := n.store.Watch(ctx, w.table, known, pollWait)
+	if err != nil && errors.Is(context.Cause(watchCtx), errEraRaised) {
+		err = errEraRaised
+	}
 	return rows, false, err
 }
 
--- a/entry/gateway/watch_test.go
+++ b/entry/gateway/watch_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
 // storeStub stands in for the store, in virtual time. Its tables are empty, and its polls
@@ -86,3 +88,21 @@
 	require.True(t, during)
 	require.False(t, after)
 }
+
+// Guards against a table that stays at the state before a restoration of the store for as
+// long as its poll lasts, and against a restoration that counts as an outage.
+func TestRestorationEndsThePollsOfAllTables(t *testing.T) {
+	eras := make(map[string]uint64)
+	unavailable := false
+	runWatches(t, func(n *Node, s *storeStub) {
+		s.set(1, false)
+		time.Sleep(operatorPollWait + time.Second)
+		for _, table := range []string{adapter.TableOperator, adapter.TableServers, adapter.TableVMs} {
+			position, _ := n.replicas.version(table)
+			eras[table] = position.Era()
+		}
+		unavailable = n.serversUnavailable.Load() || n.operatorUnavailable.Load()
+	})
+	require.Equal(t, map[string]uint64{adapter.TableOperator: 1, adapter.TableServers: 1, adapter.TableVMs: 1}, eras)
+	require.False(t, unavailable)
+}
