gateway: connecting to a relay takes 250 ms at most, and a round trip

Also tests: responses without end, at the gateway: a booking gets 502, a lookup the response of another server.

--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -30,6 +30,9 @@
 	// relayMargin is how long the response of a relay is awaited after that of a backend
 	// server would have been.
 	relayMargin = 50 * time.Millisecond
+	// relayConnectTimeout bounds connecting to a relay, in addition to a round trip. A
+	// request may have to try several.
+	relayConnectTimeout = 250 * time.Millisecond
 	// unservedTime is how long requests for a service are not relayed after a relay had no
 	// server for it either.
 	unservedTime = 500 * time.Millisecond
@@ -263,6 +266,9 @@
 	call := r.newCallWithHeader(header)
 	call.ServerID, call.Address, call.MaxIdleConns = vm.Name, joinHostPort(host, r.node.relayPort()), relayIdleConns
 	call.Deadline = call.Deadline.Add(relayMargin)
+	r.node.mu.Lock()
+	call.ConnectTimeout = relayConnectTimeout + r.node.picker.RTT(vm.Region)
+	r.node.mu.Unlock()
 	return call, nil
 }
 
--- a/entry/gateway/request_test.go
+++ b/entry/gateway/request_test.go
@@ -50,8 +50,10 @@
 	return b.latest
 }
 
-// Responses of backend servers. With unresponsive and hangUp there is none.
+// Responses of backend servers. With unresponsive and hangUp there is none, endless never
+// ends.
 const (
+	endless      = "endless"
 	unresponsive = "mute"
 	hangUp       = "hang up"
 	shed         = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -95,6 +97,11 @@
 				return
 			case hangUp:
 				return
+			case endless:
+				for err == nil {
+					_, err = io.WriteString(server, "HTTP/1.1 100 Continue\r\nX-More: 1\r\n\r\n")
+				}
+				return
 			default:
 				_, _ = io.WriteString(server, text)
 			}
@@ -245,6 +252,7 @@
 		"hung up":            {alwaysRespond(hangUp), 502, 1},
 		"mute":               {alwaysRespond(unresponsive), 504, 1},
 		"failed":             {respondWith(500, "no"), 500, 1},
+		"endless":            {alwaysRespond(endless), 502, 1},
 		"garbled":            {alwaysRespond("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"), 502, 1},
 		"503 of the service": {respondWith(503, ""), 503, 1},
 	} {
@@ -286,7 +294,7 @@
 // gateway.
 func TestIdempotentRequestIsRetried(t *testing.T) {
 	for name, first := range map[string]func(*http.Request) string{
-		"hung up": alwaysRespond(hangUp), "failed": respondWith(500, "no"), "shed": alwaysRespond(shed),
+		"hung up": alwaysRespond(hangUp), "failed": respondWith(500, "no"), "shed": alwaysRespond(shed), "endless": alwaysRespond(endless),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var calls atomic.Int32
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -49,6 +50,8 @@
 	MaxIdleConns int
 	// IdleConnOnly is set if no connection may be opened.
 	IdleConnOnly bool
+	// ConnectTimeout bounds opening a connection; 0 stands for the usual bound.
+	ConnectTimeout time.Duration
 	// Deadline is when the whole response must have been read.
 	Deadline time.Time
 }
@@ -113,7 +116,7 @@
 		return nil, ErrNoIdleConn
 	}
 	begin := time.Now()
-	connectDeadline := begin.Add(connectTimeout)
+	connectDeadline := begin.Add(cmp.Or(call.ConnectTimeout, connectTimeout))
 	if call.Deadline.Before(connectDeadline) {
 		connectDeadline = call.Deadline
 	}
