gateway: links to one service that are lost, as a test

The links of a VM to the servers of one of two services are lost, in the three ways: its requests for that service are relayed and at least two thirds of them are served, without the links counting as lost.

A relay whose caller has left states an unknown outcome in place of a refusal; the response reaches nobody, but the next reader need not prove that.

--- a/entry/gateway/fleet_test.go
+++ b/entry/gateway/fleet_test.go
@@ -41,8 +41,10 @@
 	// withoutRelay holds the addresses of VMs of an earlier version, which do not listen.
 	withoutRelay map[string]bool
 
-	mu         sync.Mutex
-	links      map[string]linkState
+	mu    sync.Mutex
+	links map[string]linkState
+	// spared are the servers that are reached whatever the state of the links is.
+	spared     map[string]bool
 	conns      map[*linkConn]bool
 	relayConns []net.Conn
 }
@@ -102,7 +104,7 @@
 		d.fleet.relayConns = append(d.fleet.relayConns, c)
 		return c, err
 	}
-	switch d.fleet.linksOf(d.vm) {
+	switch d.fleet.linkTo(d.vm, address) {
 	case linksHang, linksReset:
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -113,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &linkConn{Conn: nc, fleet: d.fleet, vm: d.vm}
+	c := &linkConn{Conn: nc, fleet: d.fleet, vm: d.vm, server: address}
 	d.fleet.mu.Lock()
 	d.fleet.conns[c] = true
 	d.fleet.mu.Unlock()
@@ -123,13 +125,13 @@
 // linkConn is a connection from a VM to a backend server.
 type linkConn struct {
 	net.Conn
-	fleet *fleet
-	vm    string
+	fleet      *fleet
+	vm, server string
 }
 
 // Write implements net.Conn.
 func (c *linkConn) Write(p []byte) (int, error) {
-	if c.fleet.linksOf(c.vm) == linksHang {
+	if c.fleet.linkTo(c.vm, c.server) == linksHang {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
@@ -139,15 +141,19 @@
 func (c *linkConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || c.fleet.linksOf(c.vm) != linksHang {
+		if err != nil || c.fleet.linkTo(c.vm, c.server) != linksHang {
 			return n, err
 		}
 	}
 }
 
-func (f *fleet) linksOf(vm string) linkState {
+// linkTo returns the state of the link from a VM to a server.
+func (f *fleet) linkTo(vm, server string) linkState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.spared[server] {
+		return linksUp
+	}
 	return f.links[vm]
 }
 
@@ -157,7 +163,7 @@
 	defer f.mu.Unlock()
 	f.links[vm] = state
 	for c := range f.conns {
-		if c.vm == vm && state == linksReset {
+		if c.vm == vm && state == linksReset && !f.spared[c.server] {
 			_ = c.Conn.Close()
 		}
 	}
@@ -166,13 +172,24 @@
 // fleetConfig returns a configuration with the limits that requests need to be read from
 // a connection.
 func fleetConfig(accounts ...*steering.Account) *steering.Config {
-	config := testConfig(accounts...)
+	if accounts == nil {
+		accounts = []*steering.Account{{Name: "t1", Keys: []string{"k1"}}}
+	}
+	hall := &steering.Route{
+		Name: "hall", Host: "h", Prefix: "/hall/", TrafficSplit: []steering.WeightedService{{Service: "hall", Weight: 1}}, Idempotent: true,
+		Timeout: 1500 * time.Millisecond, Objective: 400 * time.Millisecond, MaxAttempts: 2, Priority: 1,
+	}
+	services := []*steering.Service{{Name: "desk", HealthPath: "/health"}, {Name: "hall", HealthPath: "/health"}}
+	config := steering.NewConfig(1, append(testRoutes(), hall), services, accounts, steering.Limits{})
 	config.Limits = steering.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 	return config
 }
 
-// fleetServers is the number of backend servers of a fleet.
-const fleetServers = 12
+// fleetServers and hallServers are the numbers of backend servers of the two services.
+const (
+	fleetServers = 12
+	hallServers  = 4
+)
 
 // regionOf returns the region of a VM. All servers are in the region north.
 func regionOf(vm string) string {
@@ -194,11 +211,14 @@
 			links: make(map[string]linkState), conns: make(map[*linkConn]bool), relays: make(map[string]*pipeListener), withoutRelay: make(map[string]bool),
 		}
 		var servers []catalog.RowChange[steering.Server]
-		for i := range fleetServers {
-			id := fmt.Sprintf("s%d", i)
+		for i := range fleetServers + hallServers {
+			id, service := fmt.Sprintf("s%d", i), "desk"
+			if i >= fleetServers {
+				id, service = fmt.Sprintf("h%d", i-fleetServers), "hall"
+			}
 			f.backends.handlers[id] = respond
 			servers = append(servers, catalog.RowChange[steering.Server]{Key: id, Position: 1, Value: &steering.Server{
-				ID: id, Service: "desk", Address: id, FailureDomain: []string{"a", "b"}[i%2], Region: "north", Slots: 8,
+				ID: id, Service: service, Address: id, FailureDomain: []string{"a", "b"}[i%2], Region: "north", Slots: 8,
 			}})
 		}
 		var rows []catalog.RowChange[steering.VM]
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -73,6 +73,41 @@
 	require.Zero(t, suspended)
 }
 
+// Guards against a VM that has lost its links to the servers of one service and rejects the
+// requests for it, although other VMs reach them.
+func TestVMWithoutLinksToOneServiceServesItsCallers(t *testing.T) {
+	for name, state := range map[string]linkState{"connections hang": linksHang, "connections are reset": linksReset, "connections are refused": linksRefuse} {
+		t.Run(name, func(t *testing.T) {
+			const requests = 50
+			served, lost := 0, true
+			runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2"}, func(f *fleet) {
+				f.spared = make(map[string]bool)
+				for i := range fleetServers {
+					f.spared[fmt.Sprintf("s%d", i)] = true
+				}
+				f.serve(context.Background(), "vm-1", "GET", "/hall/x")
+				f.setLinks("vm-1", state)
+				var callers sync.WaitGroup
+				callers.Go(func() { f.load(300, loadInterval) })
+				for i := range 300 {
+					callers.Go(func() {
+						if f.serve(context.Background(), "vm-1", "GET", "/hall/x").Status == http.StatusOK && i >= 300-requests {
+							f.mu.Lock()
+							served++
+							f.mu.Unlock()
+						}
+					})
+					time.Sleep(loadInterval)
+				}
+				callers.Wait()
+				lost = f.nodes["vm-1"].links.Lost()
+			})
+			require.False(t, lost, "the other servers are reached")
+			require.GreaterOrEqual(t, 3*served, 2*requests)
+		})
+	}
+}
+
 // Guards against lookups that wait until their timeout for a response that cannot come,
 // because the links were lost while they were in progress.
 func TestLookupsInProgressAreRelayedWhenLinksAreLost(t *testing.T) {
--- a/entry/gateway/relayserver.go
+++ b/entry/gateway/relayserver.go
@@ -59,7 +59,7 @@
 	result := relayResult{Reason: r.reason, RetryAfterMS: r.retryAfter.Milliseconds(), Attempts: r.attempts, Server: r.server}
 	switch {
 	case r.answered:
-	case r.mayHaveRun || response.Status != http.StatusServiceUnavailable:
+	case r.mayHaveRun || ctx.Err() != nil || response.Status != http.StatusServiceUnavailable:
 		result.Failed = true
 	case r.rejectedFor == placement.LinksLost:
 		result.Refusal = refusedWithoutLinks
