placement: a newly named limit is granted at once in a stable fleet

Only a change of the VMs can have replaced an owner, and the wait now counts from the last one, as in spec/limitowner.pml, whose owners always exist.

TestNewLimitIsGrantedAtOnceInAStableFleet fails on the code before.

--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -61,7 +61,7 @@
 	if slices.Equal(p.activeVMs, vms) && p.mayOwnLimits == mayOwnLimits {
 		return
 	}
-	p.activeVMs, p.mayOwnLimits = vms, mayOwnLimits
+	p.activeVMs, p.mayOwnLimits, p.activeSince = vms, mayOwnLimits, now
 	p.activeVersion++
 	p.SetLimits(now, p.limits)
 }
@@ -88,7 +88,9 @@
 	if !l.named || l.activeVersion != p.activeVersion {
 		owner := p.limitOwner(s)
 		if owner == p.vm && l.owner != p.vm {
-			l.grantsFrom = now + p.handoverTime()
+			// A limit that is named for the first time has had no owner since the VMs last
+			// changed.
+			l.grantsFrom = p.activeSince + p.handoverTime()
 		}
 		l.owner, l.activeVersion = owner, p.activeVersion
 	}
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// Guards against a server that gets no requests for seconds after it first named a limit,
+// although no other VM can have owned the limit.
+func TestNewLimitIsGrantedAtOnceInAStableFleet(t *testing.T) {
+	p := newTestPicker(testServers("north", 1, 8))
+	p.SetActiveVMs(0, testVMs("vm-1"), true)
+	namedAt := p.handoverTime() + time.Second
+	p.SetLimits(namedAt, limitsOf(10, "north-0"))
+	granted, _ := p.GrantLimit(namedAt+200*time.Millisecond, "north-0")
+	require.True(t, granted)
+
+	p.SetLimits(namedAt+time.Second, nil)
+	changedAt := namedAt + 2*time.Second
+	p.SetActiveVMs(changedAt, testVMs("vm-1", "vm-2"), false)
+	p.SetActiveVMs(changedAt+time.Second, testVMs("vm-1"), true)
+	p.SetLimits(changedAt+1500*time.Millisecond, limitsOf(10, "north-0"))
+	granted, _ = p.GrantLimit(changedAt+1700*time.Millisecond, "north-0")
+	require.False(t, granted, "the VMs have changed since")
+}
+
 // Guards against objects of a limited server that are rejected while other servers have
 // room, and against VMs that ask an owner that has refused them.
 func TestLimitedServerIsReplaced(t *testing.T) {
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -97,10 +97,11 @@
 	workEstimates map[string]*workEstimate
 	rttMS         map[string]float64
 	vms           []string
-	// activeVMs, with activeVersion as the number of its changes, and mayOwnLimits are
-	// those of SetActiveVMs.
+	// activeVMs, with activeVersion as the number of its changes and activeSince as the
+	// time of the last one, and mayOwnLimits are those of SetActiveVMs.
 	activeVMs     []exchange.Member
 	activeVersion int
+	activeSince   time.Duration
 	mayOwnLimits  bool
 	limits        map[string]serverlimit.Limit
 }
