gateway: the check of the links notices connections that are aborted

Something between a VM and the servers may accept connections that it cannot forward, and abort them. The check of the links took such a connection for a link that works, so that servers were suspended one by one, each after four failed requests.

A connection of a check now has to stay open for 20 ms and a round trip.

net.go: the comment on keep-alive said when a peer counts as unreachable without the user timeout that decides instead.

--- a/entry/gateway/fleet_test.go
+++ b/entry/gateway/fleet_test.go
@@ -29,6 +29,8 @@
 	linksReset
 	// linksRefuse refuse new connections, while open ones work.
 	linksRefuse
+	// linksAbort close open connections, and new ones once they are open.
+	linksAbort
 )
 
 // fleet is a fleet of nodes in virtual time. The links of each VM to the backend servers
@@ -110,6 +112,9 @@
 		return nil, ctx.Err()
 	case linksRefuse:
 		return nil, errRefused
+	case linksAbort:
+		client, server := net.Pipe()
+		return client, server.Close()
 	}
 	nc, err := d.fleet.backends.DialContext(ctx, network, address)
 	if err != nil {
@@ -163,7 +168,7 @@
 	defer f.mu.Unlock()
 	f.links[vm] = state
 	for c := range f.conns {
-		if c.vm == vm && state == linksReset && !f.spared[c.server] {
+		if c.vm == vm && (state == linksReset || state == linksAbort) && !f.spared[c.server] {
 			_ = c.Conn.Close()
 		}
 	}
--- a/entry/gateway/links.go
+++ b/entry/gateway/links.go
@@ -2,16 +2,26 @@
 
 import (
 	"context"
+	"net"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/upstream"
 )
 
-// linkCheckTimeout bounds opening a connection in a check of the links, in addition to a
-// round trip.
-const linkCheckTimeout = 300 * time.Millisecond
+const (
+	// linkCheckTimeout bounds opening a connection in a check of the links, in addition to
+	// a round trip.
+	linkCheckTimeout = 300 * time.Millisecond
+	// abortNoticeTime is how long a connection has to stay open after a round trip.
+	// Something between the two ends may accept connections that it cannot forward, and
+	// abort them.
+	abortNoticeTime = 20 * time.Millisecond
+)
 
 // observeLinks passes the outcome of an attempt to the monitor of the links to the backend
 // servers. The caller holds mu.
@@ -46,26 +56,28 @@
 	}
 	n.metrics.Count(1, "link_checks")
 	go func() {
-		connected := n.connectToAny(targets, linkCheckTimeout+longestRTT)
+		connected := n.connectToAll(targets, linkCheckTimeout+longestRTT, abortNoticeTime+longestRTT)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.linkCheckFinished(n.now(), len(targets), connected)
 	}()
 }
 
-// connectToAny opens and closes a connection to each server and returns the number of
-// those that were opened within the timeout.
-func (n *Node) connectToAny(servers []*steering.Server, timeout time.Duration) (connected int) {
+// connectToAll opens a connection to each server and returns the number of those that were
+// opened within the timeout and were not aborted for stayOpen.
+func (n *Node) connectToAll(servers []*steering.Server, timeout, stayOpen time.Duration) (connected int) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	results := make(chan bool, len(servers))
 	for _, s := range servers {
 		go func() {
 			c, err := n.backendDialer.DialContext(ctx, "tcp", s.Address)
-			if err == nil {
-				_ = c.Close()
+			if err != nil {
+				results <- false
+				return
 			}
-			results <- err == nil
+			defer c.Close()
+			results <- staysOpen(c, stayOpen)
 		}()
 	}
 	for range servers {
@@ -76,6 +88,15 @@
 	return connected
 }
 
+// staysOpen reports whether a new connection is not aborted within a time.
+func staysOpen(c net.Conn, d time.Duration) bool {
+	if c.SetReadDeadline(time.Now().Add(d)) != nil {
+		return false
+	}
+	_, err := c.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // linkCheckFinished handles the result of a check of the links. The caller holds mu.
 func (n *Node) linkCheckFinished(now time.Duration, tried, connected int) {
 	if !n.links.CheckFinished(now, tried, connected, n.picker.Servers()) {
--- a/entry/gateway/net.go
+++ b/entry/gateway/net.go
@@ -15,7 +15,8 @@
 // keepAliveConfig detects connections whose peer no longer responds. After two
 // unanswered probes, within some 4 s, a peer counts as unreachable; the
 // platform allows more time than that before it expects requests to be served
-// again.
+// again. On connections with a tcpUserTimeout, that time decides in place of the
+// number of probes.
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 1500 * time.Millisecond, Interval: time.Second, Count: 2}
 
 // tcpUserTimeout bounds how long sent bytes may stay unacknowledged. Several
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -35,7 +35,7 @@
 // Guards against callers of a VM that has lost its links to the backend servers and gets
 // their requests rejected, although the other VMs reach the servers.
 func TestVMWithoutLinksToBackendServersServesItsCallers(t *testing.T) {
-	for name, state := range map[string]linkState{"connections hang": linksHang, "connections are reset": linksReset, "connections are refused": linksRefuse} {
+	for name, state := range map[string]linkState{"connections hang": linksHang, "connections are reset": linksReset, "connections are refused": linksRefuse, "connections are aborted": linksAbort} {
 		for cut := 1; cut <= 3; cut++ {
 			t.Run(fmt.Sprintf("%s at %d of 4 VMs", name, cut), func(t *testing.T) {
 				vms := []string{"vm-1", "vm-2", "vm-3", "vm-4"}
