standin/soak: gateways that are cut from all backend servers

Gateways may now bind to the VM's own address (option upstream.bind_source, which is also of use to VMs with several addresses), and the servers' proxies reset the connections from one gateway, drawn by a generator of its own, so that the other faults of a seed stay the same. While a gateway is cut and no other fault is near, two thirds of its requests have to be served.

Tried and not kept: packet filters on the servers' sockets, so that connections hang; this kernel has no SO_ATTACH_FILTER ('operation not supported').

--- a/entry/gateway/net.go
+++ b/entry/gateway/net.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -34,8 +35,16 @@
 	return sockoptErr
 }
 
-func newBackendDialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
+// networkDialer opens connections to backend servers and relays.
+type networkDialer struct{ node *Node }
+
+// DialContext implements upstream.Dialer.
+func (d networkDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
+	if d.node.options.Load().Upstream.BindSource {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(d.node.settings.IP)}
+	}
+	return dialer.DialContext(ctx, network, address)
 }
 
 // storeDialTimeout bounds opening a connection to the store, and
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -154,15 +154,16 @@
 
 // New returns a node, which serves once Run is called.
 func New(settings adapter.Settings, log logr.Logger) *Node {
-	return newNode(settings, log, newBackendDialer(), newStoreTransport())
+	return newNode(settings, log, nil, newStoreTransport())
 }
 
+// newNode returns a node that connects to backend servers and relays with backendDialer;
+// nil stands for connections over the network.
 func newNode(settings adapter.Settings, log logr.Logger, backendDialer upstream.Dialer, storeTransport http.RoundTripper) *Node {
 	start, incarnation := time.Now(), rand.Int64()
 	n := &Node{
 		settings: settings, log: log, start: start, incarnation: incarnation, metrics: telemetry.New(start),
 		store: adapter.NewStore(settings.StoreAddress, storeTransport),
-		pool:  upstream.NewPool(backendDialer), relayPool: upstream.NewPool(backendDialer), backendDialer: backendDialer,
 		links: linkhealth.New(), relays: relay.NewSelector(rand.Float64), unservedUntil: make(map[string]time.Duration),
 		fatalErrors: make(chan error, 1), hubClient: newHubClient(), replicas: newReplicas(),
 		hubReadWake: make(chan struct{}, 1), heartbeatWake: make(chan struct{}, 1),
@@ -175,6 +176,10 @@
 		regionFlows:  make(map[string]*regionflow.Flow), routeSplits: make(map[string]*placement.TrafficSplitter),
 		demandMeter: demand.New(), logLimiter: eventlog.NewLimiter(), regions: regionNames(settings), demandKnown: make(map[string]bool),
 	}
+	if backendDialer == nil {
+		backendDialer = networkDialer{n}
+	}
+	n.backendDialer, n.pool, n.relayPool = backendDialer, upstream.NewPool(backendDialer), upstream.NewPool(backendDialer)
 	n.bounds.Store(&settings.Bounds)
 	options := DefaultOptions()
 	n.options.Store(&options)
--- a/entry/gateway/options.go
+++ b/entry/gateway/options.go
@@ -18,7 +18,15 @@
 // Options are the project's own settings of a gateway, in addition to those of
 // the platform. All of them take effect on a reload.
 type Options struct {
-	Log LogOptions `json:"log"`
+	Log      LogOptions      `json:"log"`
+	Upstream UpstreamOptions `json:"upstream"`
+}
+
+// UpstreamOptions control the connections to backend servers.
+type UpstreamOptions struct {
+	// BindSource makes new connections come from the VM's own address. Without it, the
+	// operating system chooses one of those that a VM has.
+	BindSource bool `json:"bind_source"`
 }
 
 // LogOptions control what is logged.
@@ -79,7 +87,8 @@
 	n.mu.Lock()
 	n.logLimiter.SetLimit(o.Log.LinesPerSecond)
 	n.mu.Unlock()
-	n.log.Info("options in force", "verbose", o.Log.Verbose, "successSample", o.Log.SuccessSample, "linesPerSecond", o.Log.LinesPerSecond)
+	n.log.Info("options in force", "verbose", o.Log.Verbose, "successSample", o.Log.SuccessSample, "linesPerSecond", o.Log.LinesPerSecond,
+		"bindSource", o.Upstream.BindSource)
 }
 
 // logVerbose logs a line that only helps to find faults of the gateway, if such
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -26,6 +26,12 @@
 	limitWindow     = 4 * time.Second
 	limitTolerance  = 1.5
 	limitMargin     = 5
+	// From cutNoticeBound after a gateway was cut from all servers, at least
+	// minCutServedShare of its requests must be served. Fewer than minCutRequests do not
+	// count.
+	cutNoticeBound    = 4 * time.Second
+	minCutServedShare = 2.0 / 3
+	minCutRequests    = 20
 	// minServedShare is the share of requests that must be served after the
 	// faults.
 	minServedShare = 0.9
@@ -71,6 +77,7 @@
 	}
 	tb.checkRate(report)
 	tb.checkLimits(sent, report)
+	tb.checkGatewayCuts(report)
 	tb.checkRecovery(report)
 	return violations
 }
@@ -237,6 +244,50 @@
 	return false
 }
 
+// checkGatewayCuts checks that gateways that are cut from all servers serve their callers
+// while the others can.
+func (tb *testbed) checkGatewayCuts(report func(string, ...any)) {
+	for i, f := range tb.faults {
+		if f.kind != GatewayCut || f.end.IsZero() {
+			continue
+		}
+		sent, served := 0, 0
+		for _, o := range tb.outcomes.list {
+			if o.gateway != tb.gateways[f.target].ip+":8206" || o.account == limitedAccount || o.sent.Before(f.start.Add(cutNoticeBound)) || o.finished.After(f.end) || tb.otherFaultNear(i, o) {
+				continue
+			}
+			sent++
+			if o.status == http.StatusOK {
+				served++
+			}
+		}
+		if sent >= minCutRequests && float64(served) < minCutServedShare*float64(sent) {
+			report("gateway %d, cut from all servers, served %d of %d requests", f.target, served, sent)
+		}
+	}
+}
+
+// otherFaultNear reports whether a fault other than fault i, which may keep requests from
+// being served, was in progress during a request or shortly before it. Changes of the
+// configuration, limits of servers, and cuts, reloads and planned stops of other gateways
+// may not.
+func (tb *testbed) otherFaultNear(i int, o outcome) bool {
+	for j, f := range tb.faults {
+		switch f.kind {
+		case ConfigChange, GatewayCut, ServerLimits, Reload:
+			continue
+		case PlannedStop:
+			if tb.gateways[f.target].ip+":8206" != o.gateway {
+				continue
+			}
+		}
+		if j != i && o.finished.After(f.start) && (f.end.IsZero() || o.sent.Before(f.end.Add(cutNoticeBound))) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRecovery checks that requests are served again after the faults.
 func (tb *testbed) checkRecovery(report func(string, ...any)) {
 	var lastFinished time.Time
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -42,6 +42,7 @@
 	LinkUnresponsive     Kind = "link to server silent"
 	LinkOneWay           Kind = "answers of server held back"
 	LinkConnsBlackholed  Kind = "link to server forgets"
+	GatewayCut           Kind = "gateway cut from all servers"
 )
 
 // kinds are the faults of gateways, the store, backend servers and the operator.
@@ -99,6 +100,7 @@
 	plan = append(plan, restorePlan(seed, faultPeriod)...)
 	plan = append(plan, limitPlan(seed, faultPeriod, serverCount)...)
 	plan = append(plan, vanishPlan(seed, faultPeriod, serverCount)...)
+	plan = append(plan, gatewayCutPlan(seed, faultPeriod, gatewayCount)...)
 	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
@@ -156,6 +158,18 @@
 	return plan
 }
 
+// gatewayCutPlan returns the times at which gateways are cut from all backend servers.
+func gatewayCutPlan(seed uint64, faultPeriod time.Duration, gatewayCount int) []Event {
+	rng := rand.New(rand.NewPCG(seed, 0xc07))
+	var plan []Event
+	for start := time.Second + time.Duration(rng.Int64N(int64(3*time.Second))); start < faultPeriod; start += time.Second + time.Duration(rng.Int64N(int64(5*time.Second))) {
+		plan = append(plan, Event{
+			Start: start, Duration: 500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))), Kind: GatewayCut, Target: rng.IntN(gatewayCount),
+		})
+	}
+	return plan
+}
+
 // Describe returns the plan of a seed, one line a fault.
 func Describe(seed uint64, faultPeriod time.Duration) []string {
 	var lines []string
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -37,6 +37,8 @@
 	blackholed map[net.Conn]bool
 	// modeChanged is closed and replaced when the mode is set.
 	modeChanged chan struct{}
+	// aborted are the addresses whose connections are reset.
+	aborted map[string]bool
 }
 
 func newProxy(address, target string) (*proxy, error) {
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool), blackholed: make(map[net.Conn]bool), modeChanged: make(chan struct{})}
+	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool), blackholed: make(map[net.Conn]bool), aborted: make(map[string]bool), modeChanged: make(chan struct{})}
 	go p.acceptLoop()
 	return p, nil
 }
@@ -67,6 +69,22 @@
 	p.modeChanged = make(chan struct{})
 }
 
+// abort makes open and new connections from an address be reset, or be forwarded again.
+func (p *proxy) abort(ip string, aborted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.aborted[ip] = aborted
+	for c := range p.conns {
+		if aborted && sourceOf(c) == ip {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}
+}
+
+// sourceOf returns the address that a connection comes from.
+func sourceOf(c net.Conn) string { return c.RemoteAddr().(*net.TCPAddr).IP.String() }
+
 // waitWhileHeld blocks while the bytes of a client connection are held back.
 // fromTarget is set for bytes that the target sent.
 func (p *proxy) waitWhileHeld(c net.Conn, fromTarget bool) {
@@ -89,7 +107,7 @@
 			return
 		}
 		p.mu.Lock()
-		refused := p.mode == refuse
+		refused := p.mode == refuse || p.aborted[sourceOf(c)]
 		if !refused {
 			p.conns[c] = true
 		}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -73,6 +73,25 @@
 	require.Empty(t, violations)
 }
 
+// Guards against gateways that are cut from all backend servers and serve their callers
+// worse than the others, run a booking twice or say that one did not run that has, while
+// other gateways are cut, stopped and killed.
+func TestGatewaysCutFromAllServers(t *testing.T) {
+	plan := []Event{
+		{Start: time.Second, Kind: GatewayCut, Target: 0, Duration: 9 * time.Second},
+		{Start: 1500 * time.Millisecond, Kind: GatewayCut, Target: 1, Duration: 7 * time.Second},
+		{Start: 3 * time.Second, Kind: PlannedStop, Target: 3},
+		{Start: 7 * time.Second, Kind: ConfigChange},
+		{Start: 11 * time.Second, Kind: GatewayCut, Target: 2, Duration: 6 * time.Second},
+		{Start: 12 * time.Second, Kind: GatewayCut, Target: 3, Duration: 7 * time.Second},
+		{Start: 18 * time.Second, Kind: GatewayCut, Target: 0, Duration: 2 * time.Second},
+		{Start: 18 * time.Second, Kind: Kill, Target: 1},
+	}
+	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 4, Plan: plan})
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
 // Guards against plans that differ between runs of the same seed.
 func TestPlanIsDeterministic(t *testing.T) {
 	require.Equal(t, Plan(7, 20*time.Second, gatewayCount, serverCount), Plan(7, 20*time.Second, gatewayCount, serverCount))
@@ -83,7 +102,7 @@
 			drawn[e.Kind] = true
 		}
 	}
-	require.Len(t, drawn, len(kinds)+len(linkKinds)+3, "every kind of fault must be drawn")
+	require.Len(t, drawn, len(kinds)+len(linkKinds)+4, "every kind of fault must be drawn")
 }
 
 // checkViolations returns the violations that the checks find in synthetic records.
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -139,9 +139,9 @@
 
 // gateway is one gateway process.
 type gateway struct {
-	index            int
-	ip, settingsFile string
-	logFile          *os.File
+	index                         int
+	ip, settingsFile, optionsFile string
+	logFile                       *os.File
 
 	// restartMu is held while the process is stopped and started again. A
 	// concurrent second start would leave an unmanaged process behind.
@@ -233,7 +233,11 @@
 	}
 	tb.storeProxies = append(tb.storeProxies, storeProxy)
 	ip, _, _ := net.SplitHostPort(tb.address(1+i, 1))
-	g := &gateway{index: i, ip: ip, settingsFile: filepath.Join(tb.options.Folder, fmt.Sprintf("gateway-%d.json", i))}
+	g := &gateway{index: i, ip: ip, settingsFile: filepath.Join(tb.options.Folder, fmt.Sprintf("gateway-%d.json", i)), optionsFile: filepath.Join(tb.options.Folder, "options.json")}
+	// The address of a gateway tells the servers' proxies which one a connection comes from.
+	if err := os.WriteFile(g.optionsFile, []byte(`{"upstream": {"bind_source": true}}`), 0o644); err != nil {
+		return errors.Wrap(ErrStart, err.Error())
+	}
 	failureDomain := failureDomains[i%len(failureDomains)]
 	settings, err := json.Marshal(map[string]any{
 		"self": map[string]any{
@@ -267,7 +271,7 @@
 func (g *gateway) start(binary string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cmd := exec.Command(binary, "gateway", "--settings", g.settingsFile)
+	cmd := exec.Command(binary, "gateway", "--settings", g.settingsFile, "--options", g.optionsFile)
 	cmd.Stdout, cmd.Stderr = g.logFile, g.logFile
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(ErrStart, err.Error())
@@ -414,6 +418,8 @@
 		fault.failureDomain = failureDomains[e.Target%len(failureDomains)]
 	case LinkCut, LinkUnresponsive, LinkOneWay, LinkConnsBlackholed:
 		fault.link = "link " + tb.backends[e.Target].id
+	case GatewayCut:
+		fault.link = "links of gateway " + tb.gateways[e.Target].ip
 	case ServerLimits:
 		fault.limit, fault.limitedServer = namedLimit(e.Target), tb.backends[e.Target].id
 	}
@@ -454,6 +460,10 @@
 		disturbConns(e, proxies)
 	case LinkCut, LinkUnresponsive, LinkOneWay, LinkConnsBlackholed:
 		disturbConns(e, []*proxy{tb.backends[e.Target].proxy})
+	case GatewayCut:
+		tb.cutGateway(tb.gateways[e.Target], true)
+		time.Sleep(e.Duration)
+		tb.cutGateway(tb.gateways[e.Target], false)
 	case StoreUnavailable, StoreSlow, StoreLosesResponses:
 		tb.store.SetFaults(storeFaults(e.Kind))
 		time.Sleep(e.Duration)
@@ -478,6 +488,13 @@
 	}
 }
 
+// cutGateway cuts a gateway from all backend servers, or ends that.
+func (tb *testbed) cutGateway(g *gateway, cut bool) {
+	for _, b := range tb.backends {
+		b.proxy.abort(g.ip, cut)
+	}
+}
+
 // proxyModes maps the faults of connections to the proxy mode during the fault.
 var proxyModes = map[Kind]proxyMode{
 	StoreCut: refuse, StoreUnresponsive: blackhole, StoreConnsBlackholed: blackholeOpen,
