gateway, upstream: sentinel errors are declared one by one

Found in the read of the diff: the house style counts errors made inside indented blocks as bare strings. Tests of both packages pass.

--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -205,14 +205,14 @@
 	return loaded && n.now()-time.Duration(n.storeLastSeenAt.Load()) < storeContactValidity && !n.operatorUnavailable.Load() && !n.serversUnavailable.Load()
 }
 
-// Causes for which polls in progress are cancelled.
-var (
-	// errOtherWatchFailed means that a poll of another table failed: if one connection to
-	// the store stopped responding, the others may have as well.
-	errOtherWatchFailed = errors.New("watch of another table failed")
-	// errEraRaised means that another table shows a new era of the store.
-	errEraRaised = errors.New("store has a new era")
-)
+// errOtherWatchFailed is the cause of a poll that was cancelled because that of another
+// table failed: if one connection to the store stopped responding, the others may have as
+// well.
+var errOtherWatchFailed = errors.New("watch of another table failed")
+
+// errEraRaised is the cause of a poll that was cancelled because another table shows a new
+// era of the store.
+var errEraRaised = errors.New("store has a new era")
 
 // resetWatches cancels the polls in progress.
 func (n *Node) resetWatches(cause error) {
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -24,11 +24,10 @@
 // unlimited is the limit of a headLimitReader while no head is being read.
 const unlimited = 1 << 62
 
-var (
-	errHeadTooLarge     = errors.New("response head too large")
-	errResponseTooLarge = errors.New("response too large")
-	errBodyMemoryFull   = errors.New("too many response bodies in memory")
-)
+// Causes of ErrMalformed for responses that exceed a bound.
+var errHeadTooLarge = errors.New("response head too large")
+var errResponseTooLarge = errors.New("response too large")
+var errBodyMemoryFull = errors.New("too many response bodies in memory")
 
 // headLimitReader bounds the bytes that are read for the heads of a response.
 type headLimitReader struct {
