gateway: calls to servers and to relays are built in one place

Found in the read of the diff: newRelayCall copied the headers of the request, removed those of one connection and set the platform's, as newCall did. newCallTo does that for both.

--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -13,10 +12,8 @@
 	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/relay"
 	"github.com/cassiawind/cassiawind/core/steering"
-	"github.com/cassiawind/cassiawind/entry/hop"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 	"github.com/cassiawind/cassiawind/entry/upstream"
-	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
 const (
@@ -228,13 +225,9 @@
 	if err != nil {
 		return nil, err
 	}
-	header := make(http.Header, len(r.incoming.Header)+4)
-	maps.Copy(header, r.incoming.Header)
-	hop.Remove(header)
-	adapter.SetRequestHeaders(header, vm.Name, state.Account, time.Until(r.deadline))
-	header[relayRequestHeader] = []string{string(encoded)}
-	call := r.newCallWithHeader(header)
-	call.ServerID, call.Address, call.MaxIdleConns = vm.Name, joinHostPort(host, r.node.relayPort()), relayIdleConns
+	call := r.newCallTo(vm.Name, joinHostPort(host, r.node.relayPort()))
+	call.Header[relayRequestHeader] = []string{string(encoded)}
+	call.MaxIdleConns = relayIdleConns
 	call.Deadline = call.Deadline.Add(relayMargin)
 	r.node.mu.Lock()
 	call.ConnectTimeout = relayConnectTimeout + r.node.picker.RTT(vm.Region)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -435,7 +435,13 @@
 
 // newCall returns the call that sends the request to the chosen server.
 func (r *request) newCall(choice placement.Choice) *upstream.Call {
-	remaining := time.Until(r.deadline)
+	call := r.newCallTo(choice.Server.ID, choice.Server.Address)
+	call.MaxIdleConns, call.IdleConnOnly = r.maxIdleConns(), r.placement.Reachable != nil
+	return call
+}
+
+// newCallTo returns a call that sends the request to a backend server or a relay.
+func (r *request) newCallTo(id, address string) *upstream.Call {
 	header := make(http.Header, len(r.incoming.Header)+4)
 	maps.Copy(header, r.incoming.Header)
 	hop.Remove(header)
@@ -443,19 +449,10 @@
 	if r.account != nil {
 		account = r.account.Name
 	}
-	adapter.SetRequestHeaders(header, choice.Server.ID, account, remaining)
-	call := r.newCallWithHeader(header)
-	call.ServerID, call.Address, call.MaxIdleConns = choice.Server.ID, choice.Server.Address, r.maxIdleConns()
-	call.IdleConnOnly = r.placement.Reachable != nil
-	return call
-}
-
-// newCallWithHeader returns a call that sends the request with other headers. The server
-// has to be set.
-func (r *request) newCallWithHeader(header http.Header) *upstream.Call {
+	adapter.SetRequestHeaders(header, id, account, time.Until(r.deadline))
 	return &upstream.Call{
-		Method: r.incoming.Method, Target: r.incoming.RequestURI, Host: r.incoming.Host, Header: header, Body: r.incoming.Body,
-		HasBody: r.incoming.ContentLength != 0 || methodHasBody(r.incoming.Method), AttemptID: r.callerHeaders.AttemptID,
+		ServerID: id, Address: address, Method: r.incoming.Method, Target: r.incoming.RequestURI, Host: r.incoming.Host, Header: header,
+		Body: r.incoming.Body, HasBody: r.incoming.ContentLength != 0 || methodHasBody(r.incoming.Method), AttemptID: r.callerHeaders.AttemptID,
 		Idempotent: r.route.Idempotent, Deadline: r.deadline.Add(responseMargin),
 	}
 }
