--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiawind/cassiawind/core/catalog"
 	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/hop"
@@ -457,6 +458,15 @@
 	}
 }
 
+// fingerprint identifies the request across callers' attempts and VMs.
+func (r *request) fingerprint() poison.Fingerprint {
+	content := poison.Content{Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI, Body: r.incoming.Body}
+	if r.account != nil {
+		content.Account = r.account.Name
+	}
+	return content.Fingerprint()
+}
+
 // maxIdleConns returns the number of idle connections that this VM keeps to a server of
 // the request's service.
 func (r *request) maxIdleConns() int {
