gateway: requests that crash their servers come again without end, as a test

The request comes every 0.4 s at one VM after the other for 50 s, beside 40 other requests a second at each VM.

Datagrams of other VMs are received and sent through one function each, so that nodes can exchange messages in a test; no logic is changed.

--- a/entry/gateway/fleet_test.go
+++ b/entry/gateway/fleet_test.go
@@ -46,7 +46,9 @@
 	mu    sync.Mutex
 	links map[string]linkState
 	// spared are the servers that are reached whatever the state of the links is.
-	spared     map[string]bool
+	spared map[string]bool
+	// isDown reports whether a server refuses connections; nil if none does.
+	isDown     func(server string) bool
 	conns      map[*linkConn]bool
 	relayConns []net.Conn
 }
@@ -156,6 +158,9 @@
 func (f *fleet) linkTo(vm, server string) linkState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.isDown != nil && f.isDown(server) {
+		return linksRefuse
+	}
 	if f.spared[server] {
 		return linksUp
 	}
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -106,6 +106,8 @@
 	// fatalErrors ends Run.
 	peerConn    *net.UDPConn
 	fatalErrors chan error
+	// sendDatagram sends a message to the address of another VM.
+	sendDatagram func(address string, datagram []byte) error
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -179,6 +181,7 @@
 	if backendDialer == nil {
 		backendDialer = networkDialer{n}
 	}
+	n.sendDatagram = n.sendUDP
 	n.backendDialer, n.pool, n.relayPool = backendDialer, upstream.NewPool(backendDialer), upstream.NewPool(backendDialer)
 	n.bounds.Store(&settings.Bounds)
 	options := DefaultOptions()
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -43,22 +43,27 @@
 			n.sleep(ctx, initialBackoff)
 			continue
 		}
-		var message peerMessage
-		if err := json.Unmarshal(buf[:size], &message); err != nil {
-			n.metrics.Count(1, "peer_messages", "unreadable")
-			continue
-		}
-		n.mu.Lock()
-		out := n.handleMessage(n.now(), message)
-		n.mu.Unlock()
-		if len(out.forwards) > 0 {
-			view := n.view.Load()
-			// Half an interval, so that a digest is forwarded before the next
-			// one arrives.
-			go n.sendPaced(ctx, view, out.forwards, exchange.ReportInterval(len(view.VMs))/2)
-		}
-		n.sendAll(out.replies)
+		n.receiveDatagram(ctx, buf[:size])
+	}
+}
+
+// receiveDatagram handles one datagram of another VM.
+func (n *Node) receiveDatagram(ctx context.Context, datagram []byte) {
+	var message peerMessage
+	if err := json.Unmarshal(datagram, &message); err != nil {
+		n.metrics.Count(1, "peer_messages", "unreadable")
+		return
+	}
+	n.mu.Lock()
+	out := n.handleMessage(n.now(), message)
+	n.mu.Unlock()
+	if len(out.forwards) > 0 {
+		view := n.view.Load()
+		// Half an interval, so that a digest is forwarded before the next
+		// one arrives.
+		go n.sendPaced(ctx, view, out.forwards, exchange.ReportInterval(len(view.VMs))/2)
 	}
+	n.sendAll(out.replies)
 }
 
 // outgoing holds what this VM sends in response to a message.
@@ -252,14 +257,20 @@
 		n.log.Info("could not encode message to another VM", "error", err.Error())
 		return
 	}
-	target, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		n.log.Info("could not resolve address of another VM", "address", address, "error", err.Error())
-		return
-	}
-	if _, err := n.peerConn.WriteToUDP(raw, target); err != nil {
+	if err := n.sendDatagram(address, raw); err != nil {
 		n.metrics.Count(1, "peer_messages", "not_sent")
 		return
 	}
 	n.metrics.Count(1, "peer_messages", "sent")
 }
+
+// sendUDP sends a datagram to an address, which is an IP address and a port.
+func (n *Node) sendUDP(address string, datagram []byte) error {
+	target, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		n.log.Info("could not resolve address of another VM", "address", address, "error", err.Error())
+		return err
+	}
+	_, err = n.peerConn.WriteToUDP(datagram, target)
+	return err
+}
--- /dev/null
+++ b/entry/gateway/poison_test.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/entry/ingress"
+)
+
+const (
+	// crashAfter is how long a server runs a request that crashes it, and restartTime how
+	// long it is down.
+	crashAfter  = 60 * time.Millisecond
+	restartTime = 4 * time.Second
+	// stableWindow is the shortest one of a deployment. Retries of a request count from
+	// then on after it has crashed the third server, and maxCrashRetries are allowed.
+	stableWindow    = 3 * time.Second
+	maxCrashRetries = 3
+)
+
+// crashingServers are the backend servers of a fleet. Each crashes when it runs a request
+// whose target contains "poison", unless it is mended, and is back after restartTime.
+type crashingServers struct {
+	fleet *fleet
+
+	mu        sync.Mutex
+	mended    bool
+	downUntil map[string]time.Time
+	// arrivals and crashes are the times of the requests that crash a server, by target.
+	arrivals, crashes map[string][]time.Time
+}
+
+// respond is the handler of the server that the request names.
+func (c *crashingServers) respond(r *http.Request) string {
+	server := r.Header.Get("X-Expect-Instance")
+	if !strings.Contains(r.RequestURI, "poison") || c.isMended() {
+		if r.URL.Path != "/health" {
+			time.Sleep(crashAfter)
+		}
+		if c.isDown(server) {
+			return hangUp
+		}
+		return strings.Replace(respondWith(200, "ok")(r), "\r\n", "\r\nX-Instance-Id: "+server+"\r\n", 1)
+	}
+	c.mu.Lock()
+	c.arrivals[r.RequestURI] = append(c.arrivals[r.RequestURI], time.Now())
+	c.mu.Unlock()
+	time.Sleep(crashAfter)
+	c.crash(server, r.RequestURI)
+	return hangUp
+}
+
+func (c *crashingServers) isMended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mended
+}
+
+func (c *crashingServers) isDown(server string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.downUntil[server])
+}
+
+// crash ends a server: its connections are closed, and new ones are refused.
+func (c *crashingServers) crash(server, target string) {
+	if c.isDown(server) {
+		return
+	}
+	c.mu.Lock()
+	c.downUntil[server] = time.Now().Add(restartTime)
+	c.crashes[target] = append(c.crashes[target], time.Now())
+	c.mu.Unlock()
+	c.fleet.closeConns(server)
+}
+
+// total returns the number of crashes.
+func (c *crashingServers) total() (crashes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, times := range c.crashes {
+		crashes += len(times)
+	}
+	return crashes
+}
+
+// lateArrivals returns how often a request reached a server later than stableWindow after
+// it had crashed the third one.
+func (c *crashingServers) lateArrivals(target string) (late int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes[target]) < 3 {
+		return 0
+	}
+	for _, at := range c.arrivals[target] {
+		if at.Sub(c.crashes[target][2]) > stableWindow {
+			late++
+		}
+	}
+	return late
+}
+
+// closeConns closes the connections of all VMs to a server.
+func (f *fleet) closeConns(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.server == server {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
+// messageDelay is the time that a message between VMs takes.
+const messageDelay = 12 * time.Millisecond
+
+// exchangeMessages makes the VMs of a fleet report and deliver their messages, until ctx
+// ends.
+func (f *fleet) exchangeMessages(ctx context.Context, lost func(from, to string) bool) {
+	byAddress := make(map[string]string)
+	for vm := range f.nodes {
+		byAddress[vmIP(vm)+":99999"] = vm
+	}
+	for vm, n := range f.nodes {
+		n.sendDatagram = func(address string, datagram []byte) error {
+			to := byAddress[address]
+			if to == "" || lost != nil && lost(vm, to) {
+				return nil
+			}
+			time.AfterFunc(messageDelay, func() { f.nodes[to].receiveDatagram(ctx, datagram) })
+			return nil
+		}
+		go n.reportLoop(ctx)
+	}
+}
+
+// runCrashes runs a test with a fleet whose servers crash, after its VMs have known each
+// other for some time.
+func runCrashes(t *testing.T, vms int, test func(f *fleet, servers *crashingServers)) {
+	t.Helper()
+	names := make([]string, 0, vms)
+	for i := range vms {
+		names = append(names, fmt.Sprintf("vm-%d", i+1))
+	}
+	servers := &crashingServers{downUntil: make(map[string]time.Time), arrivals: make(map[string][]time.Time), crashes: make(map[string][]time.Time)}
+	runFleet(t, servers.respond, fleetConfig(), names, func(f *fleet) {
+		servers.fleet = f
+		f.mu.Lock()
+		f.isDown = servers.isDown
+		f.mu.Unlock()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f.exchangeMessages(ctx, nil)
+		time.Sleep(5 * time.Second)
+		test(f, servers)
+	})
+}
+
+// poisonTarget is the target of a request that crashes servers.
+const poisonTarget = "/look/poison"
+
+// sendEvery sends a request at each interval, to one VM after the other, and returns how
+// many got each status.
+func (f *fleet) sendEvery(interval, duration time.Duration, newRequest func(i int) *ingress.Request) map[int]int {
+	statuses := make(map[int]int)
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for i := range int(duration / interval) {
+		vm := fmt.Sprintf("vm-%d", i%len(f.nodes)+1)
+		callers.Go(func() {
+			response := (&handler{f.nodes[vm]}).Serve(context.Background(), newRequest(i))
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[response.Status]++
+		})
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return statuses
+}
+
+// Guards against a fleet that loses its servers to one request, which comes again and
+// again at all VMs.
+func TestRequestThatCrashesServersEndsFewServers(t *testing.T) {
+	for name, request := range map[string]func() *ingress.Request{
+		"lookup":  func() *ingress.Request { return newRequest("GET", poisonTarget) },
+		"booking": func() *ingress.Request { return newRequest("POST", "/book/poison") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var statuses map[int]int
+			var served map[string]int
+			target := request().RequestURI
+			var servers *crashingServers
+			runCrashes(t, 4, func(f *fleet, s *crashingServers) {
+				servers = s
+				var callers sync.WaitGroup
+				callers.Go(func() {
+					statuses = f.sendEvery(400*time.Millisecond, 50*time.Second, func(int) *ingress.Request { return request() })
+				})
+				callers.Go(func() { served = f.load(2000, loadInterval) })
+				callers.Wait()
+			})
+			require.LessOrEqual(t, servers.lateArrivals(target), maxCrashRetries, "retries later than the stable window after the third crash")
+			require.LessOrEqual(t, servers.total(), 5, "servers that ended")
+			require.Zero(t, statuses[http.StatusOK])
+			for vm, n := range served {
+				require.GreaterOrEqual(t, n, 1960, "other requests served by %s", vm)
+			}
+		})
+	}
+}
