gateway: a request that crashes servers is quarantined on all VMs

Callers of the other routes saw 502 and 503 whenever one request came: it ended each server that ran it, with everything in progress there, was sent to a second server at once, and came again at each VM.

Cause: a VM kept nothing of what it learned from a crash but the state of the server, and told the others nothing.

- A connection that ends with a request in progress makes the VM open one to the server: only if it is refused, or another server answers at the address within 5 s, has the server crashed.
Leaving servers, servers out of the registrations and a VM without links blame no request.
- Suspects are sent to servers without another suspect, so that the next crash shows which of them it was.
- VMs tell each other at once, and again in reports and digests.

--- a/core/exchange/digests.go
+++ b/core/exchange/digests.go
@@ -25,7 +25,8 @@
 		return
 	}
 	m.limits.MergeReported(now, r.Limits)
-	r.Limits = nil
+	m.suspects.MergeReported(now, r.Suspects)
+	r.Limits, r.Suspects = nil, nil
 	m.receivedReports[r.VM] = &receivedReport{report: r, lastSeenAt: now}
 }
 
@@ -80,7 +81,7 @@
 		sum.addGroupReport(r.GroupReport)
 	}
 	base.Demand, base.Work, base.Pinned = sum.rounded()
-	base.Limits = m.limits.Known(now)
+	base.Limits, base.Suspects = m.limits.Known(now), m.suspects.Known(now)
 	for _, vm := range m.roster {
 		if known := m.receivedReports[vm]; known != nil && known.via == "" && now-known.lastSeenAt < timeout {
 			d := base
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -27,6 +27,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/serverlimit"
 )
 
@@ -148,8 +149,10 @@
 	excluded []string
 	// storeEra is the newest era of the store that this VM has seen or heard of.
 	storeEra uint64
-	// limits is what this VM knows of the limits that backend servers name.
-	limits *serverlimit.Book
+	// limits is what this VM knows of the limits that backend servers name, suspects what
+	// it knows of the requests that may crash them.
+	limits   *serverlimit.Book
+	suspects *poison.Book
 }
 
 // New returns the state machine of a VM that starts at now.
@@ -159,7 +162,7 @@
 		receivedReports: make(map[string]*receivedReport), heartbeats: make(map[string]*receivedHeartbeat), regionOf: make(map[string]string), ownerWeightOf: make(map[string]float64),
 		lastTokenRequestAt: make(map[string]time.Duration), owners: make(map[ownerKey]string),
 		groupOf: make(map[string]groupKey), groupReports: make(map[string]*receivedGroupReport), sentGroupReports: make(map[uint64]map[string]MemberStatus),
-		limits: serverlimit.New(),
+		limits: serverlimit.New(), suspects: poison.New(),
 	}
 }
 
@@ -265,6 +268,21 @@
 // ServerLimits returns what is known of the limits that backend servers name.
 func (m *Machine) ServerLimits() *serverlimit.Book { return m.limits }
 
+// Suspects returns what is known of the requests that may crash backend servers.
+func (m *Machine) Suspects() *poison.Book { return m.suspects }
+
+// UrgentTargets returns the VMs that get a message which must not wait for the next
+// report: all others in a small fleet, the hubs and the group leader in a large one.
+func (m *Machine) UrgentTargets(now time.Duration) []string {
+	targets := m.roster
+	if m.usesGroups() {
+		targets = slices.Concat(m.Hubs(now), m.ReportTargets(now))
+	}
+	targets = slices.DeleteFunc(slices.Clone(targets), func(vm string) bool { return vm == m.self })
+	slices.Sort(targets)
+	return slices.Compact(targets)
+}
+
 // ActiveVMs returns the VMs of the roster that accept callers according to the newest
 // digest. It returns all of them if none does or there is no valid digest.
 func (m *Machine) ActiveVMs(now time.Duration) []Member {
@@ -355,7 +373,7 @@
 	}
 	return Report{
 		VM: m.self, Region: region, Incarnation: m.incarnation, Seq: m.seq, Demand: demand, Work: rounded(work.Unpinned),
-		Pinned: roundedAll(work.Pinned), Unready: !ready, Limits: m.limits.Reported(now),
+		Pinned: roundedAll(work.Pinned), Unready: !ready, Limits: m.limits.Reported(now), Suspects: m.suspects.Reported(now),
 	}
 }
 
@@ -380,6 +398,7 @@
 	}
 	m.recordLostDemand(now, d)
 	m.limits.Merge(now, d.Limits...)
+	m.suspects.Merge(now, d.Suspects...)
 	m.digest, m.hubRank, m.digestAt, m.hasDigest = d, rank, now, true
 	m.excluded = slices.Concat(d.Silent, d.Unready)
 	return digests
--- a/core/exchange/groups.go
+++ b/core/exchange/groups.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/serverlimit"
 )
 
@@ -37,8 +38,10 @@
 	Demand map[string]float64            `json:"demand,omitempty"`
 	Work   map[string]map[string]float64 `json:"work,omitempty"`
 	Pinned map[string]map[string]float64 `json:"pinned,omitempty"`
-	// Limits are the members' recent observations of limits of backend servers.
-	Limits []serverlimit.Shared `json:"limits,omitempty"`
+	// Limits are the members' recent observations of limits of backend servers, Suspects
+	// those of requests that may crash servers.
+	Limits   []serverlimit.Shared `json:"limits,omitempty"`
+	Suspects []poison.Shared      `json:"suspects,omitempty"`
 }
 
 // MemberStatus is the newest report of a VM as listed in a group report.
@@ -162,7 +165,7 @@
 		sum.addReport(known.report)
 	}
 	r.Demand, r.Work, r.Pinned = sum.rounded()
-	r.Limits = m.limits.Reported(now)
+	r.Limits, r.Suspects = m.limits.Reported(now), m.suspects.Reported(now)
 	m.sentGroupReports[r.Seq] = r.VMs
 	for seq := range m.sentGroupReports {
 		if seq+4*retainedReports < m.seq {
@@ -180,6 +183,7 @@
 	}
 	m.groupReports[r.Leader] = &receivedGroupReport{r, now}
 	m.limits.MergeReported(now, r.Limits)
+	m.suspects.MergeReported(now, r.Suspects)
 	for vm, status := range r.VMs {
 		lastSeenAt := now
 		if known := m.receivedReports[vm]; known != nil && known.report.Incarnation == status.Incarnation {
--- a/core/exchange/messages.go
+++ b/core/exchange/messages.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/serverlimit"
 	"github.com/cassiawind/cassiawind/platform"
 )
@@ -23,6 +24,8 @@
 	Unready bool `json:"unready,omitempty"`
 	// Limits are this VM's recent observations of limits that backend servers name.
 	Limits []serverlimit.Shared `json:"limits,omitempty"`
+	// Suspects are this VM's recent observations of requests that may crash servers.
+	Suspects []poison.Shared `json:"suspects,omitempty"`
 }
 
 // Digest is the reply of the first hub to a report.
@@ -51,6 +54,8 @@
 	Settled bool `json:"settled,omitempty"`
 	// Limits are the limits that backend servers name.
 	Limits []serverlimit.Shared `json:"limits,omitempty"`
+	// Suspects are the requests that may crash servers.
+	Suspects []poison.Shared `json:"suspects,omitempty"`
 }
 
 // Versions are the positions up to which a VM has read the store's tables.
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -42,6 +42,9 @@
 	// ServerLimit means that the usable servers get no more requests now because of
 	// the limits that they name.
 	ServerLimit Reason = "server limit"
+	// Quarantined means that the request crashes the servers that run it. Pick does not
+	// return it.
+	Quarantined Reason = "request crashes servers"
 	// LinksLost means that this VM has lost its links to the backend servers. Pick does
 	// not return it.
 	LinksLost Reason = "links to backend servers lost"
@@ -294,6 +297,9 @@
 	if s.isSuspended(now) || slices.Contains(r.Tried, s.registration.ID) || r.Reachable != nil && !r.Reachable(s.registration.ID) {
 		return false
 	}
+	if r.Excluded != nil && r.Excluded(s.registration) {
+		return false
+	}
 	if s.isCold(now) && (!s.sharesColdRate || s.coldBucket.Tokens(now) < 1) {
 		return false
 	}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -68,6 +68,8 @@
 	Tried []string
 	// Reachable reports whether a server can be reached; nil if all can.
 	Reachable func(server string) bool
+	// Excluded reports whether a server must not get the request; nil if all may.
+	Excluded func(server *steering.Server) bool
 	// OwnLimitsOnly excludes servers whose limit another VM owns.
 	OwnLimitsOnly bool
 }
--- a/core/steering/config.go
+++ b/core/steering/config.go
@@ -209,6 +209,8 @@
 	Incarnation int64
 	// Sequence grows with the registrations of one incarnation; 0 if unknown.
 	Sequence int64
+	// Version is that of the server's software; empty if unknown.
+	Version string
 }
 
 // OlderThan reports whether a registration was written before another one of the
--- a/entry/gateway/fleet_test.go
+++ b/entry/gateway/fleet_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,7 +95,7 @@
 	vm    string
 }
 
-var errRefused = errors.New("connection refused")
+var errRefused = errors.Wrap(syscall.ECONNREFUSED, "dial")
 
 // DialContext implements upstream.Dialer.
 func (d *vmDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
--- a/entry/gateway/gauges.go
+++ b/entry/gateway/gauges.go
@@ -29,6 +29,8 @@
 	n.metrics.Gauge(float64(missing), "rows_kept", "missing")
 	n.metrics.Gauge(float64(outdated), "rows_kept", "outdated")
 	n.metrics.Gauge(float64(n.picker.LimitedServers()), "limited_servers")
+	n.metrics.Gauge(float64(n.peers.Suspects().Len()), "suspects")
+	n.metrics.Gauge(float64(len(n.quarantined)), "quarantined")
 	n.metrics.Gauge(gaugeValue(n.peers.IsHub(now)), "hub")
 	n.metrics.Gauge(gaugeValue(n.links.Lost()), "links_lost")
 	n.metrics.Gauge(gaugeValue(view.Ready && !n.stopping.Load()), "ready")
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -20,6 +20,7 @@
 	"github.com/cassiawind/cassiawind/core/exchange"
 	"github.com/cassiawind/cassiawind/core/linkhealth"
 	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/ratelimit"
 	"github.com/cassiawind/cassiawind/core/regionflow"
 	"github.com/cassiawind/cassiawind/core/relay"
@@ -150,6 +151,14 @@
 	// relays selects among relaysByRegion.
 	relays         *relay.Selector
 	relaysByRegion map[string][]relay.Candidate
+	// suspectsKnown is set while any request is known that may crash servers, and
+	// quarantined has the crashes in a row of those that are logged as quarantined.
+	suspectsKnown atomic.Bool
+	quarantined   map[poison.Fingerprint]int
+	// lostConns are the servers whose connections ended lately with requests in progress.
+	// suspectsInProgress counts the suspect requests that this VM has sent to each server.
+	lostConns          map[string]*lostServer
+	suspectsInProgress map[string]int
 	// unservedUntil is when requests for a service may be relayed again.
 	unservedUntil map[string]time.Duration
 }
@@ -167,6 +176,7 @@
 		settings: settings, log: log, start: start, incarnation: incarnation, metrics: telemetry.New(start),
 		store: adapter.NewStore(settings.StoreAddress, storeTransport),
 		links: linkhealth.New(), relays: relay.NewSelector(rand.Float64), unservedUntil: make(map[string]time.Duration),
+		quarantined: make(map[poison.Fingerprint]int), lostConns: make(map[string]*lostServer), suspectsInProgress: make(map[string]int),
 		fatalErrors: make(chan error, 1), hubClient: newHubClient(), replicas: newReplicas(),
 		hubReadWake: make(chan struct{}, 1), heartbeatWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
@@ -363,6 +373,7 @@
 		n.dropPendingGrants(now)
 		overdue := n.answerOverdueWaiters(now)
 		n.applyServerLimits(now)
+		n.expireSuspects(now)
 		n.checkLinks(now)
 		if !n.links.Lost() {
 			// Without links, the capacity of the regions is not known.
--- a/entry/gateway/outcome.go
+++ b/entry/gateway/outcome.go
@@ -19,12 +19,18 @@
 	return errors.Is(err, upstream.ErrCancelled) || errors.Is(err, context.Canceled)
 }
 
+// isMisdirected reports whether a response shows that another server listens on the
+// address.
+func isMisdirected(response *upstream.Response) bool {
+	return response != nil && response.Status == http.StatusMisdirectedRequest
+}
+
 // attemptResult classifies the outcome of an attempt for the picker.
 func attemptResult(response *upstream.Response, err error) placement.Result {
 	switch {
 	case err != nil:
 		return attemptErrorResult(err)
-	case response.Status == http.StatusMisdirectedRequest:
+	case isMisdirected(response):
 		return placement.Misdirected
 	case response.ServerHeaders.NotRun:
 		return placement.Shed
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiawind/cassiawind/core/catalog"
 	"github.com/cassiawind/cassiawind/core/exchange"
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/platform"
 )
 
@@ -28,6 +29,7 @@
 	Loan         *loan                 `json:"loan,omitempty"`
 	LimitRequest *limitRequest         `json:"limitRequest,omitempty"`
 	LimitGrant   *limitGrant           `json:"limitGrant,omitempty"`
+	Suspects     []poison.Shared       `json:"suspects,omitempty"`
 }
 
 // receivePeerMessages receives and handles the messages of other VMs.
@@ -89,6 +91,9 @@
 		return outgoing{replies: []addressedMessage{n.handleLimitRequest(now, *message.LimitRequest)}}
 	}
 	var out outgoing
+	if len(message.Suspects) > 0 {
+		n.peers.Suspects().Merge(now, message.Suspects...)
+	}
 	if message.LimitGrant != nil {
 		n.handleLimitGrant(now, *message.LimitGrant)
 	}
@@ -118,6 +123,7 @@
 		}
 		n.applyServerLimits(now)
 	}
+	n.applySuspects(now)
 	return out
 }
 
--- /dev/null
+++ b/entry/gateway/poison.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/core/poison"
+	"github.com/cassiawind/cassiawind/core/steering"
+	"github.com/cassiawind/cassiawind/entry/upstream"
+)
+
+const (
+	// crashCheckTimeout bounds opening a connection to a server whose connections ended, in
+	// addition to a round trip.
+	crashCheckTimeout = 300 * time.Millisecond
+	// lostConnTime is how long after the end of a connection another server at the address
+	// shows that the server crashed.
+	lostConnTime = 5 * time.Second
+	// maxLostRequests bounds the requests in progress at one server that are remembered.
+	maxLostRequests = 64
+)
+
+// lostServer is a backend server one of whose connections ended while a request was in
+// progress. Whether the server crashed or the connection was reset is not known yet.
+type lostServer struct {
+	server   *steering.Server
+	requests []lostRequest
+	// checking is set while a connection to the server is opened.
+	checking bool
+	lastAt   time.Duration
+}
+
+// lostRequest is a request that got no response because its connection ended.
+type lostRequest struct {
+	fingerprint poison.Fingerprint
+	sentAt, at  time.Duration
+}
+
+// checkQuarantine reports whether the request must not be sent because it crashes the
+// servers that run it, and otherwise whether it is suspect.
+func (r *request) checkQuarantine() (retryAfter time.Duration, quarantined bool) {
+	n := r.node
+	if !n.suspectsKnown.Load() || r.trial && r.attempts == 0 && r.connectFailures > 0 {
+		// A trial that did not reach a server goes on.
+		return 0, false
+	}
+	fingerprint := r.fingerprint()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	verdict := n.peers.Suspects().Check(n.now(), fingerprint, r.hasOtherVersion)
+	r.suspect, r.trial, r.placement.Excluded = r.suspect || verdict.Suspect, verdict.Trial, nil
+	if verdict.Quarantined {
+		n.metrics.Count(1, "quarantine", "rejected")
+		return verdict.RetryAfter, true
+	}
+	if verdict.Trial && verdict.NewVersionOnly {
+		r.placement.Excluded = func(s *steering.Server) bool { return slices.Contains(verdict.CrashedVersions, s.Version) }
+	}
+	return 0, false
+}
+
+// hasOtherVersion reports whether the request may be served by software of another version
+// than the given ones.
+func (r *request) hasOtherVersion(versions []string) bool {
+	for _, part := range r.route.TrafficSplit {
+		for _, s := range r.view.Servers[part.Service] {
+			if s.Version != "" && !s.Draining && !slices.Contains(versions, s.Version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// pickUnlessExcluded selects a server. A suspect request goes to a server that has no other
+// one in progress, so that the next crash shows which of them caused it. The caller holds
+// mu.
+func (r *request) pickUnlessExcluded() placement.Choice {
+	n := r.node
+	if !r.suspect || r.placement.Excluded != nil || len(n.suspectsInProgress) == 0 {
+		return n.picker.Pick(n.now(), &r.placement)
+	}
+	r.placement.Excluded = func(s *steering.Server) bool { return n.suspectsInProgress[s.ID] > 0 }
+	choice := n.picker.Pick(n.now(), &r.placement)
+	r.placement.Excluded = nil
+	if choice.Server == nil {
+		choice = n.picker.Pick(n.now(), &r.placement)
+	}
+	return choice
+}
+
+// startSuspect records that a suspect request is sent to a server. The caller holds mu.
+func (r *request) startSuspect(now time.Duration, server string) {
+	n := r.node
+	n.suspectsInProgress[server]++
+	if r.trial {
+		n.log.Info("quarantined request is tried", "id", r.callerHeaders.AttemptID, "fingerprint", r.fingerprint().String(), "server", server)
+		n.metrics.Count(1, "quarantine", "trial")
+		n.peers.Suspects().TrialStarted(now, r.fingerprint())
+		n.announceSuspects(now, r.fingerprint())
+	}
+}
+
+// finishSuspect records what an attempt that was sent at sentAt says about the request and
+// the server. The caller holds mu.
+func (r *request) finishSuspect(now time.Duration, server *steering.Server, response *upstream.Response, sentAt time.Duration, trace upstream.Trace, err error) {
+	n := r.node
+	if r.suspect {
+		if n.suspectsInProgress[server.ID]--; n.suspectsInProgress[server.ID] <= 0 {
+			delete(n.suspectsInProgress, server.ID)
+		}
+	}
+	switch {
+	case isMisdirected(response):
+		if lost := n.lostConns[server.ID]; lost != nil {
+			n.serverCrashed(now, lost, "another server at its address")
+		}
+	case isCompleted(response):
+		if n.suspectsKnown.Load() && n.peers.Suspects().Survived(now, r.fingerprint()) {
+			n.applySuspects(now)
+			n.announceSuspects(now, r.fingerprint())
+		}
+	case err != nil && trace.Sent && isConnLost(err):
+		r.suspect = true
+		n.connectionLost(now, server, lostRequest{r.fingerprint(), sentAt, now})
+	}
+}
+
+// isCompleted reports whether a server worked on the request to its end. A server that
+// stopped at the deadline may not have reached what crashes it.
+func isCompleted(response *upstream.Response) bool {
+	return response != nil && response.ServerHeaders.Sealed && !response.ServerHeaders.NotRun && response.Status != http.StatusGatewayTimeout
+}
+
+// isConnLost reports whether a call failed because its connection ended, or brought
+// something else than a response.
+func isConnLost(err error) bool {
+	return !isCancelled(err) && (errors.Is(err, upstream.ErrStale) || errors.Is(err, upstream.ErrBroken) || errors.Is(err, upstream.ErrMalformed))
+}
+
+// connectionLost records that a connection ended with a request in progress, and checks
+// whether the server still accepts connections. The caller holds mu.
+func (n *Node) connectionLost(now time.Duration, server *steering.Server, request lostRequest) {
+	lost := n.lostConns[server.ID]
+	if lost == nil {
+		lost = &lostServer{server: server}
+		n.lostConns[server.ID] = lost
+	}
+	lost.lastAt = now
+	if len(lost.requests) < maxLostRequests {
+		lost.requests = append(lost.requests, request)
+	}
+	if lost.checking {
+		return
+	}
+	lost.checking = true
+	timeout := crashCheckTimeout + n.picker.RTT(server.Region)
+	go func() {
+		err := n.pool.Connect(context.Background(), &upstream.Call{
+			ServerID: server.ID, Address: server.Address, ConnectTimeout: timeout, Deadline: time.Now().Add(timeout), MaxIdleConns: 1,
+		})
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		lost.checking = false
+		switch {
+		case err == nil:
+			n.metrics.Count(1, "crash_checks", "accepted")
+		case errors.Is(err, syscall.ECONNREFUSED):
+			n.metrics.Count(1, "crash_checks", "refused")
+			n.serverCrashed(n.now(), lost, "refuses connections")
+		default:
+			n.metrics.Count(1, "crash_checks", "unknown")
+		}
+	}()
+}
+
+// serverCrashed records the requests that a server had in progress when it crashed. The
+// caller holds mu.
+func (n *Node) serverCrashed(now time.Duration, lost *lostServer, evidence string) {
+	requests := lost.requests
+	lost.requests = nil
+	current := n.serverInUse(lost.server)
+	if len(requests) == 0 || n.links.Lost() || current == nil || current.Draining || current.Expired {
+		return
+	}
+	identity := lost.server.ID
+	if lost.server.Incarnation != 0 {
+		identity += "@" + strconv.FormatInt(lost.server.Incarnation, 36)
+	}
+	var fingerprints []poison.Fingerprint
+	for _, request := range requests {
+		n.peers.Suspects().Crashed(now, request.fingerprint, poison.Crash{
+			Server: identity, Version: lost.server.Version, SentAt: request.sentAt, At: request.at,
+		})
+		fingerprints = append(fingerprints, request.fingerprint)
+	}
+	n.metrics.Count(1, "server_crashes")
+	if ok, omitted := n.logLimiter.Allow(now, "crash"); ok {
+		n.log.Info("backend server crashed", "server", lost.server.ID, "service", lost.server.Service, "failureDomain", lost.server.FailureDomain,
+			"evidence", evidence, "inProgress", len(requests), "omitted", omitted)
+	}
+	n.applySuspects(now)
+	n.announceSuspects(now, fingerprints...)
+}
+
+// serverInUse returns the registration of a server, unless it was removed or belongs to a
+// later start. The caller holds mu.
+func (n *Node) serverInUse(server *steering.Server) *steering.Server {
+	for _, s := range n.view.Load().Servers[server.Service] {
+		if s.ID == server.ID && s.Incarnation == server.Incarnation {
+			return s
+		}
+	}
+	return nil
+}
+
+// announceSuspects tells other VMs at once what is known of requests. The caller holds mu.
+func (n *Node) announceSuspects(now time.Duration, fingerprints ...poison.Fingerprint) {
+	var message peerMessage
+	for _, f := range fingerprints {
+		if s, ok := n.peers.Suspects().Share(now, f); ok {
+			message.Suspects = append(message.Suspects, s)
+		}
+	}
+	messages := make(map[string]peerMessage)
+	for _, vm := range n.peers.UrgentTargets(now) {
+		messages[vm] = message
+	}
+	view := n.view.Load()
+	go n.sendPaced(context.Background(), view, messages, announceTime)
+}
+
+// announceTime is the time over which a message to all VMs is spread.
+const announceTime = 100 * time.Millisecond
+
+// applySuspects makes what is known of requests effective and logs what changed. The caller
+// holds mu.
+func (n *Node) applySuspects(now time.Duration) {
+	suspects := n.peers.Suspects()
+	n.suspectsKnown.Store(!suspects.Empty())
+	if suspects.Empty() && len(n.quarantined) == 0 {
+		return
+	}
+	quarantined := suspects.Quarantined()
+	for f, crashes := range quarantined {
+		if n.quarantined[f] != crashes {
+			n.logQuarantine(now, "request quarantined", f, crashes)
+		}
+	}
+	for f, crashes := range n.quarantined {
+		if _, known := quarantined[f]; !known {
+			n.logQuarantine(now, "request released from quarantine", f, crashes)
+		}
+	}
+	n.quarantined = quarantined
+}
+
+func (n *Node) logQuarantine(now time.Duration, message string, f poison.Fingerprint, crashes int) {
+	if ok, omitted := n.logLimiter.Allow(now, "quarantine"); ok {
+		n.log.Info(message, "fingerprint", f.String(), "crashes", crashes, "omitted", omitted)
+	}
+}
+
+// expireSuspects forgets suspect requests and ended connections after their time. The
+// caller holds mu.
+func (n *Node) expireSuspects(now time.Duration) {
+	for id, lost := range n.lostConns {
+		if now-lost.lastAt > lostConnTime && !lost.checking {
+			delete(n.lostConns, id)
+		}
+	}
+	if n.suspectsKnown.Load() {
+		n.peers.Suspects().Expire(now)
+		n.applySuspects(now)
+	}
+}
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -3,15 +3,22 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/ingress"
+	"github.com/cassiawind/cassiawind/entry/upstream"
+	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
 const (
@@ -143,7 +150,7 @@
 
 // runCrashes runs a test with a fleet whose servers crash, after its VMs have known each
 // other for some time.
-func runCrashes(t *testing.T, vms int, test func(f *fleet, servers *crashingServers)) {
+func runCrashes(t *testing.T, vms int, lost func(from, to string) bool, test func(f *fleet, servers *crashingServers)) {
 	t.Helper()
 	names := make([]string, 0, vms)
 	for i := range vms {
@@ -157,7 +164,7 @@
 		f.mu.Unlock()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		f.exchangeMessages(ctx, nil)
+		f.exchangeMessages(ctx, lost)
 		time.Sleep(5 * time.Second)
 		test(f, servers)
 	})
@@ -198,7 +205,7 @@
 			var served map[string]int
 			target := request().RequestURI
 			var servers *crashingServers
-			runCrashes(t, 4, func(f *fleet, s *crashingServers) {
+			runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
 				servers = s
 				var callers sync.WaitGroup
 				callers.Go(func() {
@@ -216,3 +223,139 @@
 		})
 	}
 }
+
+// Guards against VMs that each lose servers to a request because they do not hear of each
+// other.
+func TestRequestThatCrashesServersEndsFewServersWhileMessagesAreLost(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 0))
+	var mu sync.Mutex
+	for name, lost := range map[string]func(from, to string) bool{
+		"half of the messages": func(string, string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return rng.IntN(2) == 0
+		},
+		"all messages of the first hub": func(from, _ string) bool { return from == "vm-2" },
+		"two halves":                    func(from, to string) bool { return (from <= "vm-2") != (to <= "vm-2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var servers *crashingServers
+			runCrashes(t, 4, lost, func(f *fleet, s *crashingServers) {
+				servers = s
+				f.sendEvery(400*time.Millisecond, 2*time.Minute, func(int) *ingress.Request { return newRequest("GET", poisonTarget) })
+			})
+			require.LessOrEqual(t, servers.lateArrivals(poisonTarget), maxCrashRetries)
+			require.LessOrEqual(t, servers.total(), 8, "servers that ended")
+		})
+	}
+}
+
+// Guards against a VM without links to the servers through which a quarantined request
+// gets to a relay's servers.
+func TestQuarantineHoldsForRelayedRequests(t *testing.T) {
+	var servers *crashingServers
+	var statuses map[int]int
+	runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
+		servers = s
+		f.loseLinks("vm-1")
+		statuses = f.sendEvery(400*time.Millisecond, 30*time.Second, func(int) *ingress.Request { return newRequest("GET", poisonTarget) })
+	})
+	require.LessOrEqual(t, servers.lateArrivals(poisonTarget), maxCrashRetries)
+	require.LessOrEqual(t, servers.total(), 5)
+	require.Zero(t, statuses[http.StatusOK])
+}
+
+// Guards against a request that stays quarantined after the servers were mended, and
+// against a rejection without a true Retry-After.
+func TestMendedServersGetTheRequestAgain(t *testing.T) {
+	runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
+		send := func(vm string) *ingress.Response {
+			return (&handler{f.nodes[vm]}).Serve(context.Background(), newRequest("GET", poisonTarget))
+		}
+		require.Equal(t, http.StatusBadGateway, send("vm-1").Status, "the request may have run")
+		time.Sleep(500 * time.Millisecond)
+		begin := time.Now()
+		response := send("vm-2")
+		require.Equal(t, http.StatusServiceUnavailable, response.Status)
+		require.Zero(t, time.Since(begin), "a rejection comes at once")
+		retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		s.mu.Lock()
+		s.mended = true
+		s.mu.Unlock()
+		time.Sleep(time.Duration(retryAfter * float64(time.Second)))
+		require.Equal(t, http.StatusOK, send("vm-3").Status)
+		time.Sleep(100 * time.Millisecond)
+		for vm, n := range f.nodes {
+			require.Equal(t, http.StatusOK, send(vm).Status)
+			require.Empty(t, n.peers.Suspects().Quarantined())
+		}
+	})
+}
+
+// Guards against a fault of a connection or a planned stop that is taken for a crash.
+func TestOnlyCrashesMakeRequestsSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		// end ends the server that has a request in progress.
+		end     func(f *fleet, s *crashingServers, server string)
+		suspect bool
+	}{
+		"crash":            {func(_ *fleet, s *crashingServers, server string) { s.crash(server, "") }, true},
+		"connection reset": {func(f *fleet, _ *crashingServers, server string) { f.closeConns(server) }, false},
+		"leaving server": {func(f *fleet, s *crashingServers, server string) {
+			n := f.nodes["vm-1"]
+			leaving := *n.view.Load().Servers["desk"][0]
+			for _, registered := range n.view.Load().Servers["desk"] {
+				if registered.ID == server {
+					leaving = *registered
+				}
+			}
+			leaving.Draining = true
+			n.mu.Lock()
+			n.catalog.ApplyServer(n.now(), catalog.RowChange[steering.Server]{Key: server, Position: 2, Value: &leaving})
+			n.publishView(n.now())
+			n.mu.Unlock()
+			s.crash(server, "")
+		}, false},
+		"lost links, connections reset": {func(f *fleet, _ *crashingServers, _ string) { f.setLinks("vm-1", linksReset) }, false},
+		"lost links, connections abort": {func(f *fleet, _ *crashingServers, _ string) { f.setLinks("vm-1", linksAbort) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCrashes(t, 2, nil, func(f *fleet, s *crashingServers) {
+				go f.serve(context.Background(), "vm-1", "POST", "/book/x")
+				time.Sleep(crashAfter / 2)
+				received := f.backends.receivedRequests()
+				server, _, _ := strings.Cut(received[len(received)-1], " ")
+				c.end(f, s, server)
+				time.Sleep(2 * time.Second)
+				f.nodes["vm-1"].mu.Lock()
+				defer f.nodes["vm-1"].mu.Unlock()
+				require.Equal(t, c.suspect, !f.nodes["vm-1"].peers.Suspects().Empty())
+			})
+		})
+	}
+}
+
+// Guards against a server that started again at its address before the VM could notice,
+// and against a request with a short deadline that counts as completed.
+func TestOtherServerAtTheAddressShowsACrash(t *testing.T) {
+	var restarted atomic.Bool
+	respond := func(r *http.Request) string {
+		if restarted.Load() {
+			return misdirected
+		}
+		restarted.Store(true)
+		return hangUp
+	}
+	b := &standInBackends{handlers: map[string]func(*http.Request) string{"s1": respond}}
+	runInVirtualTime(t, b, testConfig(), func(n *Node, serve func(*ingress.Request) *ingress.Response) {
+		serve(newRequest("POST", "/book/x"))
+		require.True(t, n.peers.Suspects().Empty(), "the server accepts connections")
+		serve(newRequest("POST", "/book/y"))
+		require.False(t, n.peers.Suspects().Empty())
+	})
+	require.True(t, isCompleted(&upstream.Response{Status: 500, ServerHeaders: adapter.ServerHeaders{Sealed: true}}))
+	require.False(t, isCompleted(&upstream.Response{Status: 504, ServerHeaders: adapter.ServerHeaders{Sealed: true}}))
+	require.False(t, isCompleted(&upstream.Response{Status: 503, ServerHeaders: adapter.ServerHeaders{Sealed: true, NotRun: true}}))
+	require.False(t, isCompleted(nil))
+}
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -116,6 +116,12 @@
 	expectedTime time.Duration
 	// retryAfter is when the caller was told to come back; 0 if it was not.
 	retryAfter time.Duration
+	// contentHash identifies the request once hashed is set.
+	contentHash poison.Fingerprint
+	hashed      bool
+	// suspect is set if the request was in progress when a server crashed, trial if it is
+	// quarantined and sent to one server nevertheless.
+	suspect, trial bool
 	// isRelayed is set for requests that this VM serves on behalf of another one, relayVM is
 	// the VM that this VM relayed the request to.
 	isRelayed bool
@@ -157,6 +163,9 @@
 	if r.node.mayStopBefore(r.deadline) {
 		return r.reject(http.StatusServiceUnavailable, leavingRetryAfter, "VM is leaving")
 	}
+	if retryAfter, quarantined := r.checkQuarantine(); quarantined {
+		return r.giveUp(placement.Choice{Reason: placement.Quarantined, RetryAfter: retryAfter})
+	}
 	if rejection := r.checkRate(ctx); rejection != nil {
 		return rejection
 	}
@@ -265,6 +274,9 @@
 		if ctx.Err() != nil {
 			return r.reject(statusCallerLeft, 0, "caller left")
 		}
+		if retryAfter, quarantined := r.checkQuarantine(); quarantined {
+			return r.giveUp(placement.Choice{Reason: placement.Quarantined, RetryAfter: retryAfter})
+		}
 		choice, ok := r.chooseServer(ctx)
 		if !ok && r.mayRelay(choice) {
 			return r.relay(ctx, choice)
@@ -324,7 +336,7 @@
 	}
 	r.placement.Remaining = time.Until(r.deadline)
 	r.placement.Waited = time.Since(r.incoming.Arrived)
-	choice = n.picker.Pick(n.now(), &r.placement)
+	choice = r.pickUnlessExcluded()
 	if choice.Server == nil && n.links.Lost() {
 		choice.Reason = placement.LinksLost
 	}
@@ -345,6 +357,9 @@
 	}
 	n.picker.RequestStarted(now, &r.placement, choice)
 	n.links.RequestSent(choice.Server.ID)
+	if r.suspect {
+		r.startSuspect(now, choice.Server.ID)
+	}
 	return choice
 }
 
@@ -420,6 +435,7 @@
 	if response != nil && result != placement.Misdirected {
 		n.recordServerLimit(now, now-elapsed, choice.Server, response)
 	}
+	r.finishSuspect(now, choice.Server, response, now-elapsed, trace, err)
 	if trace.Sent && r.attempts == 1 {
 		n.retryBudget(r.placement.Service).AddRequest(now)
 	}
@@ -460,11 +476,15 @@
 
 // fingerprint identifies the request across callers' attempts and VMs.
 func (r *request) fingerprint() poison.Fingerprint {
+	if r.hashed {
+		return r.contentHash
+	}
 	content := poison.Content{Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI, Body: r.incoming.Body}
 	if r.account != nil {
 		content.Account = r.account.Name
 	}
-	return content.Fingerprint()
+	r.contentHash, r.hashed = content.Fingerprint(), true
+	return r.contentHash
 }
 
 // maxIdleConns returns the number of idle connections that this VM keeps to a server of
--- a/entry/gateway/request_test.go
+++ b/entry/gateway/request_test.go
@@ -183,9 +183,8 @@
 		n := newTestNode(b, config)
 		h := &handler{n}
 		test(n, func(r *ingress.Request) *ingress.Response { return h.Serve(context.Background(), r) })
-		for _, id := range []string{"s1", "s2", "far"} {
-			n.pool.CloseIdle(id)
-		}
+		synctest.Wait()
+		n.pool.CloseAllIdle()
 		time.Sleep(time.Minute)
 	})
 }
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -104,6 +104,16 @@
 	return response, trace, nil
 }
 
+// Connect opens a connection to a server and keeps it for later calls.
+func (p *Pool) Connect(ctx context.Context, call *Call) error {
+	c, err := p.dial(ctx, call, &Trace{})
+	if err != nil {
+		return err
+	}
+	p.keep(c, "", call.MaxIdleConns)
+	return nil
+}
+
 // getConn returns an idle connection to the server or opens one. A call without an id
 // gets a new connection, because it cannot skip a late response to an earlier request.
 func (p *Pool) getConn(ctx context.Context, call *Call, trace *Trace) (*conn, error) {
@@ -115,6 +125,11 @@
 	if call.IdleConnOnly {
 		return nil, ErrNoIdleConn
 	}
+	return p.dial(ctx, call, trace)
+}
+
+// dial opens a connection to the server.
+func (p *Pool) dial(ctx context.Context, call *Call, trace *Trace) (*conn, error) {
 	begin := time.Now()
 	connectDeadline := begin.Add(cmp.Or(call.ConnectTimeout, connectTimeout))
 	if call.Deadline.Before(connectDeadline) {
