gateway: quarantined requests outlast a restart of all VMs

The quarantine lived in the memory of the VMs.

The hubs write a row for each quarantined request, with the time of day, and delete it at its release. Each VM reads the table once, before it first acts as a hub; the others learn from digests. After a restoration of the store the hubs write the rows again.

--- a/core/poison/book_test.go
+++ b/core/poison/book_test.go
@@ -226,7 +226,7 @@
 			b := New()
 			for _, i := range append(rng.Perm(len(messages)), rng.Perm(len(messages))...) {
 				// All arrive at the same time, with the ages that they then have.
-				b.Merge(now, aged(messages[i], now-sentAt[i]))
+				b.Merge(now, messages[i].Aged(now-sentAt[i]))
 			}
 			v := b.Check(now, culprit, sameVersion)
 			verdicts[agreement{v.Quarantined, v.Suspect, v.Trial}] = true
@@ -235,23 +235,6 @@
 	}
 }
 
-// aged returns a message as it was sent earlier by d.
-func aged(s Shared, d time.Duration) Shared {
-	crashes := make([]SharedCrash, len(s.Crashes))
-	for i, c := range s.Crashes {
-		c.SentMS += d.Milliseconds()
-		c.AgeMS += d.Milliseconds()
-		crashes[i] = c
-	}
-	s.Crashes = crashes
-	if s.SurvivedMS != nil {
-		survived := *s.SurvivedMS + d.Milliseconds()
-		s.SurvivedMS = &survived
-	}
-	s.TrialMS += d.Milliseconds()
-	return s
-}
-
 // Guards against messages of a faulty VM that quarantine a request.
 func TestMalformedMessagesAreIgnored(t *testing.T) {
 	long := make([]SharedCrash, maxCrashes+1)
--- a/core/poison/shared.go
+++ b/core/poison/shared.go
@@ -83,6 +83,21 @@
 	return s, true
 }
 
+// Aged returns s as it reads after a time has passed.
+func (s Shared) Aged(d time.Duration) Shared {
+	s.Crashes = slices.Clone(s.Crashes)
+	for i := range s.Crashes {
+		s.Crashes[i].SentMS += d.Milliseconds()
+		s.Crashes[i].AgeMS += d.Milliseconds()
+	}
+	if s.SurvivedMS != nil {
+		survived := *s.SurvivedMS + d.Milliseconds()
+		s.SurvivedMS = &survived
+	}
+	s.TrialMS += d.Milliseconds()
+	return s
+}
+
 // maxAgeMS bounds the ages in messages, so that they do not overflow.
 const maxAgeMS = int64(365 * 24 * time.Hour / time.Millisecond)
 
--- a/entry/gateway/fleet_test.go
+++ b/entry/gateway/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/cassiawind/cassiawind/core/catalog"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/ingress"
+	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
 // linkState is what happens to the connections between a VM and the backend servers.
@@ -52,6 +54,99 @@
 	isDown     func(server string) bool
 	conns      map[*linkConn]bool
 	relayConns []net.Conn
+	// servers and vms are the registrations, and stop ends the work of the nodes.
+	config  *steering.Config
+	servers []catalog.RowChange[steering.Server]
+	vms     []catalog.RowChange[steering.VM]
+	stop    context.CancelFunc
+	// quarantine keeps the quarantined requests.
+	quarantine memoryQuarantine
+}
+
+// memoryQuarantine stands in for the table of quarantined requests.
+type memoryQuarantine struct {
+	mu   sync.Mutex
+	rows map[string][]byte
+	// era counts the restorations, reads and writes the calls. While failing is set, calls
+	// fail.
+	era           uint64
+	reads, writes int
+	failing       bool
+}
+
+var errStoreUnavailable = errors.New("store unavailable")
+
+// Read implements quarantineRows.
+func (q *memoryQuarantine) Read(context.Context, string) (adapter.Rows, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.reads++; q.failing {
+		return adapter.Rows{}, errStoreUnavailable
+	}
+	var rows adapter.Rows
+	for key, value := range q.rows {
+		rows.Rows = append(rows.Rows, adapter.Row{Key: key, Value: value})
+	}
+	return rows, nil
+}
+
+// Update implements quarantineRows.
+func (q *memoryQuarantine) Update(_ context.Context, _ string, put map[string][]byte, deleted []string) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.writes++; q.failing {
+		return errStoreUnavailable
+	}
+	if q.rows == nil {
+		q.rows = make(map[string][]byte)
+	}
+	maps.Copy(q.rows, put)
+	for _, key := range deleted {
+		delete(q.rows, key)
+	}
+	return nil
+}
+
+// Era implements quarantineRows.
+func (q *memoryQuarantine) Era() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.era
+}
+
+// startNodes starts a node on each VM, without anything that an earlier one knew.
+func (f *fleet) startNodes(vms []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	for _, vm := range vms {
+		settings := testSettings()
+		settings.VM, settings.IP, settings.PeerPort, settings.Region = vm, vmIP(vm), 7600, regionOf(vm)
+		n := newNode(settings, logr.Discard(), &vmDialer{f, vm}, nil)
+		f.nodes[vm], n.quarantineRows = n, &f.quarantine
+		n.mu.Lock()
+		n.catalog.ApplyConfig(f.config)
+		n.catalog.MarkOperatorLoaded()
+		n.catalog.LoadServers(0, 1, f.servers)
+		n.catalog.LoadVMs(0, 1, f.vms)
+		n.publishView(0)
+		n.mu.Unlock()
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		f.relays[joinHostPort(vmIP(vm), n.relayPort())] = l
+		go func() { _ = n.relayServer.Serve(l) }()
+		go n.tickLoop(ctx)
+		go n.loadQuarantine(ctx)
+	}
+}
+
+// stopNodes ends the work of the nodes.
+func (f *fleet) stopNodes() {
+	f.stop()
+	for _, l := range f.relays {
+		_ = l.Close()
+	}
+	for _, n := range f.nodes {
+		n.relayPool.CloseAllIdle()
+	}
 }
 
 // pipeListener accepts connections within the process.
@@ -239,32 +334,10 @@
 				Name: vm, FailureDomain: "a", Region: regionOf(vm), FrontAddress: vm + ":8206", PeerAddress: vmIP(vm) + ":99999", Weight: 1,
 			}})
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		for _, vm := range vms {
-			settings := testSettings()
-			settings.VM, settings.IP, settings.PeerPort, settings.Region = vm, vmIP(vm), 7600, regionOf(vm)
-			n := newNode(settings, logr.Discard(), &vmDialer{f, vm}, nil)
-			f.nodes[vm] = n
-			n.mu.Lock()
-			n.catalog.ApplyConfig(config)
-			n.catalog.MarkOperatorLoaded()
-			n.catalog.LoadServers(0, 1, servers)
-			n.catalog.LoadVMs(0, 1, rows)
-			n.publishView(0)
-			n.mu.Unlock()
-			l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-			f.relays[joinHostPort(vmIP(vm), n.relayPort())] = l
-			go func() { _ = n.relayServer.Serve(l) }()
-			go n.tickLoop(ctx)
-		}
+		f.config, f.servers, f.vms = config, servers, rows
+		f.startNodes(vms)
 		test(f)
-		cancel()
-		for _, l := range f.relays {
-			_ = l.Close()
-		}
-		for _, n := range f.nodes {
-			n.relayPool.CloseAllIdle()
-		}
+		f.stopNodes()
 		f.mu.Lock()
 		for c := range f.conns {
 			_ = c.Conn.Close()
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -155,6 +155,13 @@
 	// quarantined has the crashes in a row of those that are logged as quarantined.
 	suspectsKnown atomic.Bool
 	quarantined   map[poison.Fingerprint]int
+	// storedQuarantine has the number of crashes in the rows of quarantined requests that
+	// this VM has read from the store, or written there in quarantineEra.
+	quarantineRows    quarantineRows
+	storedQuarantine  map[poison.Fingerprint]int
+	quarantineEra     uint64
+	quarantineLoaded  bool
+	storingQuarantine bool
 	// lostConns are the servers whose connections ended lately with requests in progress.
 	// suspectsInProgress counts the suspect requests that this VM has sent to each server.
 	lostConns          map[string]*lostServer
@@ -176,7 +183,7 @@
 		settings: settings, log: log, start: start, incarnation: incarnation, metrics: telemetry.New(start),
 		store: adapter.NewStore(settings.StoreAddress, storeTransport),
 		links: linkhealth.New(), relays: relay.NewSelector(rand.Float64), unservedUntil: make(map[string]time.Duration),
-		quarantined: make(map[poison.Fingerprint]int), lostConns: make(map[string]*lostServer), suspectsInProgress: make(map[string]int),
+		quarantined: make(map[poison.Fingerprint]int), storedQuarantine: make(map[poison.Fingerprint]int), lostConns: make(map[string]*lostServer), suspectsInProgress: make(map[string]int),
 		fatalErrors: make(chan error, 1), hubClient: newHubClient(), replicas: newReplicas(),
 		hubReadWake: make(chan struct{}, 1), heartbeatWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
@@ -191,7 +198,7 @@
 	if backendDialer == nil {
 		backendDialer = networkDialer{n}
 	}
-	n.sendDatagram = n.sendUDP
+	n.sendDatagram, n.quarantineRows = n.sendUDP, n.store
 	n.backendDialer, n.pool, n.relayPool = backendDialer, upstream.NewPool(backendDialer), upstream.NewPool(backendDialer)
 	n.bounds.Store(&settings.Bounds)
 	options := DefaultOptions()
@@ -231,7 +238,7 @@
 	n.log.Info("started", "vm", n.settings.VM, "failureDomain", n.settings.FailureDomain, "region", n.settings.Region)
 	var background sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.registerVM, n.receivePeerMessages, n.reportLoop, n.heartbeatLoop, n.hubReadLoop, n.tickLoop,
+		n.registerVM, n.receivePeerMessages, n.reportLoop, n.heartbeatLoop, n.hubReadLoop, n.tickLoop, n.loadQuarantine,
 	} {
 		background.Go(func() { run(ctx) })
 	}
@@ -374,6 +381,7 @@
 		overdue := n.answerOverdueWaiters(now)
 		n.applyServerLimits(now)
 		n.expireSuspects(now)
+		n.storeQuarantine(ctx, now)
 		n.checkLinks(now)
 		if !n.links.Lost() {
 			// Without links, the capacity of the regions is not known.
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiawind/cassiawind/core/catalog"
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 	"github.com/cassiawind/cassiawind/entry/upstream"
@@ -148,6 +151,9 @@
 	}
 }
 
+// settleTime is the time in which the VMs of a fleet get to know each other.
+const settleTime = 5 * time.Second
+
 // runCrashes runs a test with a fleet whose servers crash, after its VMs have known each
 // other for some time.
 func runCrashes(t *testing.T, vms int, lost func(from, to string) bool, test func(f *fleet, servers *crashingServers)) {
@@ -165,7 +171,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		f.exchangeMessages(ctx, lost)
-		time.Sleep(5 * time.Second)
+		time.Sleep(settleTime)
 		test(f, servers)
 	})
 }
@@ -359,3 +365,69 @@
 	require.False(t, isCompleted(&upstream.Response{Status: 503, ServerHeaders: adapter.ServerHeaders{Sealed: true, NotRun: true}}))
 	require.False(t, isCompleted(nil))
 }
+
+// Guards against a fleet that loses its servers to the same request again after all its
+// VMs have restarted.
+func TestQuarantineOutlivesARestartOfAllVMs(t *testing.T) {
+	runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
+		poisoned := func(int) *ingress.Request { return newRequest("GET", poisonTarget) }
+		f.sendEvery(400*time.Millisecond, 20*time.Second, poisoned)
+		require.Equal(t, 3, s.total())
+		for range 3 {
+			f.stopNodes()
+			f.startNodes(slices.Sorted(maps.Keys(f.nodes)))
+			ctx, cancel := context.WithCancel(context.Background())
+			f.exchangeMessages(ctx, nil)
+			time.Sleep(time.Second)
+			f.sendEvery(400*time.Millisecond, 10*time.Second, poisoned)
+			cancel()
+		}
+		require.Equal(t, 3, s.total(), "servers that ended")
+		require.LessOrEqual(t, f.quarantine.writes, 8)
+	})
+}
+
+// Guards against quarantined requests that the store lost, or that it still has after they
+// were released, and against an outage of the store after which they are not written.
+func TestStoreHasTheQuarantinedRequests(t *testing.T) {
+	runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
+		q := &f.quarantine
+		set := func(change func()) int {
+			q.mu.Lock()
+			change()
+			q.mu.Unlock()
+			time.Sleep(time.Second)
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			return len(q.rows)
+		}
+		require.Zero(t, set(func() {}))
+		require.Zero(t, q.writes, "a quiet day costs no write")
+		q.failing = true
+		f.serve(context.Background(), "vm-1", "GET", poisonTarget)
+		require.Zero(t, set(func() {}))
+		require.Equal(t, 1, set(func() { q.failing = false }), "after an outage")
+		require.Equal(t, 1, set(func() { q.era, q.rows = 1, nil }), "after a restoration from a copy")
+		s.mu.Lock()
+		s.mended = true
+		s.mu.Unlock()
+		require.Equal(t, http.StatusOK, f.serve(context.Background(), "vm-2", "GET", poisonTarget).Status)
+		require.Zero(t, set(func() {}), "after the release")
+	})
+}
+
+// Guards against rows of another writer that are taken for quarantined requests, and
+// against clocks that were set back.
+func TestRowsOfQuarantinedRequestsAreChecked(t *testing.T) {
+	now := time.UnixMilli(5000)
+	row, err := decodeQuarantineRow([]byte(`{"written":3000,"suspect":{"f":"AAAAAAAAAAAAAAAAAAAAAA","c":[{"s":"s1","b":200,"a":100}]}}`), now)
+	require.NoError(t, err)
+	require.Equal(t, []poison.SharedCrash{{Server: "s1", SentMS: 2200, AgeMS: 2100}}, row.Crashes)
+	row, err = decodeQuarantineRow([]byte(`{"written":9000,"suspect":{"f":"AAAAAAAAAAAAAAAAAAAAAA","c":[{"s":"s1","b":200,"a":100}]}}`), now)
+	require.NoError(t, err)
+	require.Equal(t, int64(100), row.Crashes[0].AgeMS)
+	for _, raw := range []string{"", "{", `{"suspect":{"f":"short"}}`, `{"written":"soon"}`} {
+		_, err := decodeQuarantineRow([]byte(raw), now)
+		require.ErrorIs(t, err, ErrQuarantineRow, raw)
+	}
+}
