poison: requests that a caller varies are recognized by what they have in common

A caller that puts a number into the body has a new fingerprint each time, so that no request ever crashed two servers. Each request now has three fingerprints: all of its content; method, host, path and account; route and account. The less exact ones are quarantined after three crashes in a row by different requests, with no such request completed between, so that one completed request of the account clears them: a request that comes again unchanged is known by its exact fingerprint before.

Found by TestVMsAgreeInAnyOrder on the way: the time of a trial went back when a message with more, but older trials arrived.

--- a/core/poison/book.go
+++ b/core/poison/book.go
@@ -14,6 +14,9 @@
 	// quarantined. After one, each request that was in progress is as suspect as the
 	// others.
 	quarantineCrashes = 2
+	// variedCrashes is that number for requests which have only a part of their content in
+	// common. Each of them counts once.
+	variedCrashes = 3
 	// trialTimeout is how long the outcome of a trial is awaited.
 	trialTimeout = 2 * time.Second
 	// suspicionTime is how long a request that was in progress at one crash is suspect,
@@ -41,6 +44,8 @@
 	Server, Version string
 	// SentAt is when the request was sent to the server, At when the server ended.
 	SentAt, At time.Duration
+	// variant tells the requests of a less exact fingerprint apart; 0 for an exact one.
+	variant uint32
 }
 
 // entry is what is known of a request. Without crashes it was cleared.
@@ -65,23 +70,36 @@
 // requests in progress that did not end them.
 func (e *entry) crashesInRow() (count int) {
 	last := time.Duration(math.MinInt64)
+	var variants []uint32
 	for _, c := range e.crashes {
-		if c.SentAt >= last {
-			count++
-			last = c.At
+		if c.SentAt < last || c.variant != 0 && slices.Contains(variants, c.variant) {
+			continue
 		}
+		count++
+		last, variants = c.At, append(variants, c.variant)
 	}
 	return count
 }
 
-func (e *entry) isQuarantined() bool { return e.crashesInRow() >= quarantineCrashes }
+// threshold returns the number of crashes in a row from which on the request is
+// quarantined.
+func (e *entry) threshold() int {
+	if len(e.crashes) > 0 && e.crashes[0].variant != 0 {
+		return variedCrashes
+	}
+	return quarantineCrashes
+}
+
+func (e *entry) isQuarantined() bool {
+	return len(e.crashes) > 0 && e.crashesInRow() >= e.threshold()
+}
 
 // lastCrashAt returns when the newest crash happened; there is at least one.
 func (e *entry) lastCrashAt() time.Duration { return e.crashes[len(e.crashes)-1].At }
 
 // trialIndex returns the index in trialDelays of the next trial.
 func (e *entry) trialIndex() int {
-	return e.releases + max(e.crashesInRow()-quarantineCrashes, e.trials)
+	return e.releases + max(e.crashesInRow()-e.threshold(), e.trials)
 }
 
 // expiresAt returns when the entry is forgotten.
@@ -177,35 +195,64 @@
 func (b *Book) Empty() bool { return len(b.entries) == 0 }
 
 // Crashed records that a server crashed with the request in progress.
-func (b *Book) Crashed(now time.Duration, f Fingerprint, c Crash) {
-	if b.entryOf(now, f).addCrash(c) {
-		b.changed(now, f)
+func (b *Book) Crashed(now time.Duration, request Fingerprints, c Crash) {
+	for i, f := range request {
+		if i > 0 {
+			c.variant = request.variant()
+		}
+		if b.entryOf(now, f).addCrash(c) {
+			b.changed(now, f)
+		}
 	}
 }
 
 // Survived records that a server completed the request. It reports whether the request was
-// suspect until then.
-func (b *Book) Survived(now time.Duration, f Fingerprint) bool {
-	e := b.entries[f]
-	if e == nil || len(e.crashes) == 0 {
-		return false
+// quarantined until then.
+func (b *Book) Survived(now time.Duration, request Fingerprints) (released bool) {
+	for _, f := range request {
+		if e := b.entries[f]; e != nil && len(e.crashes) > 0 {
+			released = released || e.isQuarantined()
+			e.addSurvival(now)
+			b.changed(now, f)
+		}
 	}
-	e.addSurvival(now)
-	b.changed(now, f)
-	return true
+	return released
 }
 
 // TrialStarted records that a quarantined request is sent to a server.
-func (b *Book) TrialStarted(now time.Duration, f Fingerprint) {
-	if e := b.entries[f]; e != nil {
-		e.trials, e.trialAt = e.trials+1, now
-		b.changed(now, f)
+func (b *Book) TrialStarted(now time.Duration, request Fingerprints) {
+	for _, f := range request {
+		if e := b.entries[f]; e != nil && e.isQuarantined() {
+			e.trials, e.trialAt = e.trials+1, now
+			b.changed(now, f)
+		}
 	}
 }
 
 // Check returns what becomes of a request. hasOtherVersion reports whether a server runs
 // software of a version other than the given ones.
-func (b *Book) Check(now time.Duration, f Fingerprint, hasOtherVersion func(versions []string) bool) Verdict {
+func (b *Book) Check(now time.Duration, request Fingerprints, hasOtherVersion func(versions []string) bool) Verdict {
+	var verdict Verdict
+	for i, f := range request {
+		v := b.check(now, f, hasOtherVersion)
+		// A less exact fingerprint is shared by many requests, most of them innocent.
+		v.Suspect = v.Suspect && (i == 0 || v.Quarantined || v.Trial)
+		verdict = verdict.combinedWith(v)
+	}
+	return verdict
+}
+
+// combinedWith returns the verdict on a request with two fingerprints.
+func (v Verdict) combinedWith(other Verdict) Verdict {
+	quarantined := v.Quarantined || other.Quarantined
+	return Verdict{
+		Quarantined: quarantined, RetryAfter: max(v.RetryAfter, other.RetryAfter), Trial: !quarantined && (v.Trial || other.Trial),
+		NewVersionOnly: v.NewVersionOnly || other.NewVersionOnly, Suspect: v.Suspect || other.Suspect,
+		CrashedVersions: slices.Concat(v.CrashedVersions, other.CrashedVersions),
+	}
+}
+
+func (b *Book) check(now time.Duration, f Fingerprint, hasOtherVersion func(versions []string) bool) Verdict {
 	e := b.entries[f]
 	if e == nil || len(e.crashes) == 0 || now >= e.expiresAt() {
 		return Verdict{}
@@ -289,7 +336,10 @@
 }
 
 func (e *entry) lessUsefulThan(other *entry) bool {
-	return cmp.Or(cmp.Compare(min(e.crashesInRow(), quarantineCrashes), min(other.crashesInRow(), quarantineCrashes)), cmp.Compare(e.changedAt, other.changedAt)) < 0
+	if e.isQuarantined() != other.isQuarantined() {
+		return other.isQuarantined()
+	}
+	return e.changedAt < other.changedAt
 }
 
 // changed records that this VM changed an entry.
--- a/core/poison/shared.go
+++ b/core/poison/shared.go
@@ -18,7 +18,7 @@
 	digestTime = 10 * time.Second
 	// maxShared bounds the requests in one message, so that a digest stays within a few
 	// packets. Of more, each message has the next ones in order.
-	maxShared = 12
+	maxShared = 16
 )
 
 // ErrFingerprint means that a text is not a fingerprint.
@@ -55,6 +55,8 @@
 	Version string `json:"v,omitempty"`
 	SentMS  int64  `json:"b"`
 	AgeMS   int64  `json:"a"`
+	// Variant tells requests apart that have only a part of their content in common.
+	Variant uint32 `json:"x,omitempty"`
 }
 
 func age(now, at time.Duration) int64 { return max(0, (now - at).Milliseconds()) }
@@ -63,7 +65,18 @@
 	return now - time.Duration(ageMS)*time.Millisecond
 }
 
-// Share returns what is known of a request; ok is false if nothing is.
+// Shares returns what is known of a request.
+func (b *Book) Shares(now time.Duration, request Fingerprints) []Shared {
+	var shares []Shared
+	for _, f := range request {
+		if s, ok := b.Share(now, f); ok {
+			shares = append(shares, s)
+		}
+	}
+	return shares
+}
+
+// Share returns what is known of a fingerprint; ok is false if nothing is.
 func (b *Book) Share(now time.Duration, f Fingerprint) (s Shared, ok bool) {
 	e := b.entries[f]
 	if e == nil {
@@ -71,7 +84,7 @@
 	}
 	s = Shared{Fingerprint: f, Releases: e.releases}
 	for _, c := range e.crashes {
-		s.Crashes = append(s.Crashes, SharedCrash{Server: c.Server, Version: c.Version, SentMS: age(now, c.SentAt), AgeMS: age(now, c.At)})
+		s.Crashes = append(s.Crashes, SharedCrash{Server: c.Server, Version: c.Version, SentMS: age(now, c.SentAt), AgeMS: age(now, c.At), Variant: c.variant})
 	}
 	if e.survived {
 		ms := age(now, e.survivedAt)
@@ -139,12 +152,17 @@
 		}
 	}
 	for _, c := range s.Crashes {
-		if e.mergeCrash(Crash{Server: c.Server, Version: c.Version, SentAt: timeOf(now, c.SentMS), At: timeOf(now, c.AgeMS)}) {
+		if e.mergeCrash(Crash{Server: c.Server, Version: c.Version, SentAt: timeOf(now, c.SentMS), At: timeOf(now, c.AgeMS), variant: c.Variant}) {
 			changed = true
 		}
 	}
-	if at := timeOf(now, s.TrialMS); s.Trials > e.trials && !(e.survived && at <= e.survivedAt) {
-		e.trials, e.trialAt, changed = s.Trials, at, true
+	if at := timeOf(now, s.TrialMS); s.Trials > 0 && !(e.survived && at <= e.survivedAt) {
+		if s.Trials > e.trials {
+			e.trials, changed = s.Trials, true
+		}
+		if e.trialAt == 0 || at > e.trialAt+clockTolerance {
+			e.trialAt, changed = at, true
+		}
 	}
 	e.releases = max(e.releases, s.Releases)
 	if changed {
--- a/entry/gateway/poison.go
+++ b/entry/gateway/poison.go
@@ -39,8 +39,8 @@
 
 // lostRequest is a request that got no response because its connection ended.
 type lostRequest struct {
-	fingerprint poison.Fingerprint
-	sentAt, at  time.Duration
+	fingerprints poison.Fingerprints
+	sentAt, at   time.Duration
 }
 
 // checkQuarantine reports whether the request must not be sent because it crashes the
@@ -51,10 +51,10 @@
 		// A trial that did not reach a server goes on.
 		return 0, false
 	}
-	fingerprint := r.fingerprint()
+	fingerprints := r.fingerprints()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	verdict := n.peers.Suspects().Check(n.now(), fingerprint, r.hasOtherVersion)
+	verdict := n.peers.Suspects().Check(n.now(), fingerprints, r.hasOtherVersion)
 	r.suspect, r.trial, r.placement.Excluded = r.suspect || verdict.Suspect, verdict.Trial, nil
 	if verdict.Quarantined {
 		n.metrics.Count(1, "quarantine", "rejected")
@@ -101,10 +101,10 @@
 	n := r.node
 	n.suspectsInProgress[server]++
 	if r.trial {
-		n.log.Info("quarantined request is tried", "id", r.callerHeaders.AttemptID, "fingerprint", r.fingerprint().String(), "server", server)
+		n.log.Info("quarantined request is tried", "id", r.callerHeaders.AttemptID, "fingerprint", r.fingerprints().Exact().String(), "server", server)
 		n.metrics.Count(1, "quarantine", "trial")
-		n.peers.Suspects().TrialStarted(now, r.fingerprint())
-		n.announceSuspects(now, r.fingerprint())
+		n.peers.Suspects().TrialStarted(now, r.fingerprints())
+		n.announceSuspects(now, r.fingerprints())
 	}
 }
 
@@ -123,13 +123,13 @@
 			n.serverCrashed(now, lost, "another server at its address")
 		}
 	case isCompleted(response):
-		if n.suspectsKnown.Load() && n.peers.Suspects().Survived(now, r.fingerprint()) {
+		if n.suspectsKnown.Load() && n.peers.Suspects().Survived(now, r.fingerprints()) {
 			n.applySuspects(now)
-			n.announceSuspects(now, r.fingerprint())
+			n.announceSuspects(now, r.fingerprints())
 		}
 	case err != nil && trace.Sent && isConnLost(err):
 		r.suspect = true
-		n.connectionLost(now, server, lostRequest{r.fingerprint(), sentAt, now})
+		n.connectionLost(now, server, lostRequest{r.fingerprints(), sentAt, now})
 	}
 }
 
@@ -194,12 +194,12 @@
 	if lost.server.Incarnation != 0 {
 		identity += "@" + strconv.FormatInt(lost.server.Incarnation, 36)
 	}
-	var fingerprints []poison.Fingerprint
+	var suspects []poison.Fingerprints
 	for _, request := range requests {
-		n.peers.Suspects().Crashed(now, request.fingerprint, poison.Crash{
+		n.peers.Suspects().Crashed(now, request.fingerprints, poison.Crash{
 			Server: identity, Version: lost.server.Version, SentAt: request.sentAt, At: request.at,
 		})
-		fingerprints = append(fingerprints, request.fingerprint)
+		suspects = append(suspects, request.fingerprints)
 	}
 	n.metrics.Count(1, "server_crashes")
 	if ok, omitted := n.logLimiter.Allow(now, "crash"); ok {
@@ -207,7 +207,7 @@
 			"evidence", evidence, "inProgress", len(requests), "omitted", omitted)
 	}
 	n.applySuspects(now)
-	n.announceSuspects(now, fingerprints...)
+	n.announceSuspects(now, suspects...)
 }
 
 // serverInUse returns the registration of a server, unless it was removed or belongs to a
@@ -222,12 +222,10 @@
 }
 
 // announceSuspects tells other VMs at once what is known of requests. The caller holds mu.
-func (n *Node) announceSuspects(now time.Duration, fingerprints ...poison.Fingerprint) {
+func (n *Node) announceSuspects(now time.Duration, requests ...poison.Fingerprints) {
 	var message peerMessage
-	for _, f := range fingerprints {
-		if s, ok := n.peers.Suspects().Share(now, f); ok {
-			message.Suspects = append(message.Suspects, s)
-		}
+	for _, request := range requests {
+		message.Suspects = append(message.Suspects, n.peers.Suspects().Shares(now, request)...)
 	}
 	messages := make(map[string]peerMessage)
 	for _, vm := range n.peers.UrgentTargets(now) {
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -230,6 +230,30 @@
 	}
 }
 
+// Guards against a caller that varies the body of a request which crashes servers, and
+// against callers of the same account and route that are rejected for it.
+func TestVariedRequestThatCrashesServersEndsFewServers(t *testing.T) {
+	var servers *crashingServers
+	var others map[int]int
+	runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
+		servers = s
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			f.sendEvery(400*time.Millisecond, 40*time.Second, func(i int) *ingress.Request {
+				r := newRequest("POST", "/book/poison")
+				r.Body = fmt.Append(nil, i)
+				return r
+			})
+		})
+		callers.Go(func() {
+			others = f.sendEvery(50*time.Millisecond, 40*time.Second, func(i int) *ingress.Request { return newRequest("POST", fmt.Sprint("/book/", i%7)) })
+		})
+		callers.Wait()
+	})
+	require.LessOrEqual(t, servers.total(), 6, "servers that ended")
+	require.GreaterOrEqual(t, others[http.StatusOK], 784, "other requests of the account that were served: %v", others)
+}
+
 // Guards against VMs that each lose servers to a request because they do not hear of each
 // other.
 func TestRequestThatCrashesServersEndsFewServersWhileMessagesAreLost(t *testing.T) {
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -116,9 +116,9 @@
 	expectedTime time.Duration
 	// retryAfter is when the caller was told to come back; 0 if it was not.
 	retryAfter time.Duration
-	// contentHash identifies the request once hashed is set.
-	contentHash poison.Fingerprint
-	hashed      bool
+	// contentHashes identify the request once hashed is set.
+	contentHashes poison.Fingerprints
+	hashed        bool
 	// suspect is set if the request was in progress when a server crashed, trial if it is
 	// quarantined and sent to one server nevertheless.
 	suspect, trial bool
@@ -474,17 +474,19 @@
 	}
 }
 
-// fingerprint identifies the request across callers' attempts and VMs.
-func (r *request) fingerprint() poison.Fingerprint {
+// fingerprints identify the request across callers' attempts and VMs.
+func (r *request) fingerprints() poison.Fingerprints {
 	if r.hashed {
-		return r.contentHash
+		return r.contentHashes
+	}
+	content := poison.Content{
+		Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI, Route: r.route.Name, Body: r.incoming.Body,
 	}
-	content := poison.Content{Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI, Body: r.incoming.Body}
 	if r.account != nil {
 		content.Account = r.account.Name
 	}
-	r.contentHash, r.hashed = content.Fingerprint(), true
-	return r.contentHash
+	r.contentHashes, r.hashed = content.Fingerprints(), true
+	return r.contentHashes
 }
 
 // maxIdleConns returns the number of idle connections that this VM keeps to a server of
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -75,7 +75,7 @@
 	}
 	n.log.Info("send", "id", r.callerHeaders.AttemptID, "result", result.String(), "server", choice.Server.ID, "service", r.placement.Service,
 		"region", choice.Server.Region, "ms", elapsed.Milliseconds(), "expectedMS", choice.ExpectedLatency.Milliseconds(),
-		"warm", choice.Warm, "cause", cause, "fingerprint", r.fingerprint().String(), "omitted", omitted)
+		"warm", choice.Warm, "cause", cause, "fingerprint", r.fingerprints().Exact().String(), "omitted", omitted)
 }
 
 // logSuspension logs that a backend server gets no requests of this VM until a probe
