gateway, poison: one VM tries a quarantined request

A trial that is due may be tried by all VMs whose requests arrive within the time that a message takes: TestOneVMTriesAQuarantinedRequest, four requests at once, ended two servers where one is enough, and the rule allows three retries in all.

Found by the tests on the way: a second crash within 100 ms of the first was not told before the next report (4 servers in place of 3), and two VMs counted a release differently if messages came in another order. Rows of the store now also have the trials and releases.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -274,15 +274,20 @@
 // UrgentTargets returns the VMs that get a message which must not wait for the next
 // report: all others in a small fleet, the hubs and the group leader in a large one.
 func (m *Machine) UrgentTargets(now time.Duration) []string {
-	targets := m.roster
-	if m.usesGroups() {
-		targets = slices.Concat(m.Hubs(now), m.ReportTargets(now))
+	if !m.usesGroups() {
+		return m.OtherVMs()
 	}
-	targets = slices.DeleteFunc(slices.Clone(targets), func(vm string) bool { return vm == m.self })
+	targets := slices.Concat(m.Hubs(now), m.ReportTargets(now))
+	targets = slices.DeleteFunc(targets, func(vm string) bool { return vm == m.self })
 	slices.Sort(targets)
 	return slices.Compact(targets)
 }
 
+// OtherVMs returns the VMs of the roster but this one.
+func (m *Machine) OtherVMs() []string {
+	return slices.DeleteFunc(slices.Clone(m.roster), func(vm string) bool { return vm == m.self })
+}
+
 // ActiveVMs returns the VMs of the roster that accept callers according to the newest
 // digest. It returns all of them if none does or there is no valid digest.
 func (m *Machine) ActiveVMs(now time.Duration) []Member {
--- a/core/poison/book.go
+++ b/core/poison/book.go
@@ -17,8 +17,8 @@
 	// variedCrashes is that number for requests which have only a part of their content in
 	// common. Each of them counts once.
 	variedCrashes = 3
-	// trialTimeout is how long the outcome of a trial is awaited.
-	trialTimeout = 2 * time.Second
+	// TrialTimeout is how long the outcome of a trial is awaited.
+	TrialTimeout = 2 * time.Second
 	// suspicionTime is how long a request that was in progress at one crash is suspect,
 	// and quarantineTime how long a request is quarantined after its last crash or trial.
 	suspicionTime  = 10 * time.Minute
@@ -56,9 +56,11 @@
 	// did.
 	survived   bool
 	survivedAt time.Duration
-	// trials counts the trials since the request was quarantined, the last at trialAt.
+	// trials counts the trials since the request was quarantined. The VM trialVM claimed the
+	// last one, at trialAt.
 	trials  int
 	trialAt time.Duration
+	trialVM string
 	// releases counts the quarantines that ended because a server completed the request.
 	releases int
 	// changedAt is when the entry last changed.
@@ -144,11 +146,7 @@
 		return false
 	}
 	e.survived, e.survivedAt = true, at
-	wasQuarantined := e.isQuarantined()
 	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.At <= at })
-	if wasQuarantined && !e.isQuarantined() {
-		e.releases++
-	}
 	if e.trialAt <= at {
 		e.trials = 0
 	}
@@ -211,7 +209,10 @@
 func (b *Book) Survived(now time.Duration, request Fingerprints) (released bool) {
 	for _, f := range request {
 		if e := b.entries[f]; e != nil && len(e.crashes) > 0 {
-			released = released || e.isQuarantined()
+			if e.isQuarantined() {
+				released = true
+				e.releases++
+			}
 			e.addSurvival(now)
 			b.changed(now, f)
 		}
@@ -219,16 +220,28 @@
 	return released
 }
 
-// TrialStarted records that a quarantined request is sent to a server.
-func (b *Book) TrialStarted(now time.Duration, request Fingerprints) {
+// ClaimTrial records that a VM is about to send a quarantined request to a server. It has
+// to wait until another VM that claims the same trial has heard of it.
+func (b *Book) ClaimTrial(now time.Duration, request Fingerprints, vm string) {
 	for _, f := range request {
 		if e := b.entries[f]; e != nil && e.isQuarantined() {
-			e.trials, e.trialAt = e.trials+1, now
+			e.trials, e.trialAt, e.trialVM = e.trials+1, now, vm
 			b.changed(now, f)
 		}
 	}
 }
 
+// HoldsTrial reports whether the newest trial of a request is that of a VM. Of two VMs that
+// claim one trial, the one whose name comes first has it.
+func (b *Book) HoldsTrial(request Fingerprints, vm string) bool {
+	for _, f := range request {
+		if e := b.entries[f]; e != nil && e.isQuarantined() && e.trialVM != vm {
+			return false
+		}
+	}
+	return true
+}
+
 // Check returns what becomes of a request. hasOtherVersion reports whether a server runs
 // software of a version other than the given ones.
 func (b *Book) Check(now time.Duration, request Fingerprints, hasOtherVersion func(versions []string) bool) Verdict {
@@ -261,7 +274,7 @@
 		return Verdict{Suspect: true}
 	}
 	v := Verdict{Suspect: true, CrashedVersions: e.versions()}
-	if wait := e.trialAt + trialTimeout - now; wait > 0 && e.trials > 0 && e.trialAt >= e.lastCrashAt() {
+	if wait := e.trialAt + TrialTimeout - now; wait > 0 && e.trials > 0 && e.trialAt >= e.lastCrashAt() {
 		v.Quarantined, v.RetryAfter = true, wait
 		return v
 	}
--- a/core/poison/book_test.go
+++ b/core/poison/book_test.go
@@ -100,14 +100,14 @@
 			continue
 		}
 		trials = append(trials, now.Round(time.Second))
-		b.TrialStarted(now, culprit)
+		b.ClaimTrial(now, culprit, "vm")
 		require.True(t, b.Check(now+ms, culprit, sameVersion).Quarantined, "one trial at a time")
 		b.Crashed(now+50*ms, culprit, crash(fmt.Sprint("t", len(trials)), now, now+50*ms))
 	}
 	require.Equal(t, []time.Duration{3 * time.Second, 63 * time.Second, 663 * time.Second}, trials)
 
 	b = quarantinedBook()
-	b.TrialStarted(3*time.Second, culprit)
+	b.ClaimTrial(3*time.Second, culprit, "vm")
 	require.True(t, b.Survived(3100*ms, culprit))
 	require.Equal(t, Verdict{}, b.Check(3200*ms, culprit, sameVersion))
 }
@@ -138,10 +138,10 @@
 	}
 	v := b.Check(1100*ms, culprit, mended)
 	require.True(t, v.Trial && v.NewVersionOnly)
-	b.TrialStarted(1100*ms, culprit)
+	b.ClaimTrial(1100*ms, culprit, "vm")
 	require.True(t, b.Check(1200*ms, culprit, mended).Quarantined)
 	for trials := 1; trials <= len(trialDelays); trials++ {
-		b.TrialStarted(time.Duration(trials)*time.Minute, culprit)
+		b.ClaimTrial(time.Duration(trials)*time.Minute, culprit, "vm")
 	}
 	require.True(t, b.Check(time.Hour, culprit, func([]string) bool { return true }).Quarantined, "all trials are used")
 }
@@ -220,7 +220,7 @@
 			case 0:
 				b.Survived(now, culprit)
 			case 1:
-				b.TrialStarted(now, culprit)
+				b.ClaimTrial(now, culprit, fmt.Sprint("vm", rng.IntN(3)))
 			default:
 				b.Crashed(now, culprit, crash(fmt.Sprint("s", step), now-300*ms, now))
 			}
@@ -280,7 +280,7 @@
 				now := time.Duration(i) * time.Second
 				if !b.Check(now, content(i).Fingerprints(), sameVersion).Quarantined {
 					crashes++
-					b.TrialStarted(now, content(i).Fingerprints())
+					b.ClaimTrial(now, content(i).Fingerprints(), "vm")
 					b.Crashed(now, content(i).Fingerprints(), crash(fmt.Sprint("s", i), now, now+100*ms))
 				}
 				if others {
@@ -298,3 +298,20 @@
 	b := quarantinedBook()
 	require.Len(t, b.Quarantined(), 1, "one request that comes again says nothing about others")
 }
+
+// Guards against two VMs that try a request at the same time.
+func TestOneVMHoldsATrial(t *testing.T) {
+	a, b := quarantinedBook(), quarantinedBook()
+	now := 4 * time.Second
+	a.ClaimTrial(now, culprit, "vm-1")
+	b.ClaimTrial(now, culprit, "vm-2")
+	fromA, fromB := a.Shares(now, culprit), b.Shares(now, culprit)
+	a.Merge(now, fromB...)
+	b.Merge(now, fromA...)
+	require.True(t, a.HoldsTrial(culprit, "vm-1"))
+	require.False(t, b.HoldsTrial(culprit, "vm-2"))
+
+	b.ClaimTrial(now+time.Second, culprit, "vm-2")
+	a.Merge(now+time.Second, b.Shares(now+time.Second, culprit)...)
+	require.False(t, a.HoldsTrial(culprit, "vm-1"), "a later trial")
+}
--- a/core/poison/shared.go
+++ b/core/poison/shared.go
@@ -46,7 +46,9 @@
 	SurvivedMS *int64 `json:"ok,omitempty"`
 	Trials     int    `json:"t,omitempty"`
 	TrialMS    int64  `json:"ta,omitempty"`
-	Releases   int    `json:"r,omitempty"`
+	// TrialVM claimed the newest trial.
+	TrialVM  string `json:"tv,omitempty"`
+	Releases int    `json:"r,omitempty"`
 }
 
 // SharedCrash is one crash of a Shared.
@@ -91,7 +93,7 @@
 		s.SurvivedMS = &ms
 	}
 	if e.trials > 0 {
-		s.Trials, s.TrialMS = e.trials, age(now, e.trialAt)
+		s.Trials, s.TrialMS, s.TrialVM = e.trials, age(now, e.trialAt), e.trialVM
 	}
 	return s, true
 }
@@ -157,8 +159,8 @@
 		}
 	}
 	if at := timeOf(now, s.TrialMS); s.Trials > 0 && !(e.survived && at <= e.survivedAt) {
-		if s.Trials > e.trials {
-			e.trials, changed = s.Trials, true
+		if s.Trials > e.trials || s.Trials == e.trials && s.TrialVM < e.trialVM {
+			e.trials, e.trialVM, changed = s.Trials, s.TrialVM, true
 		}
 		if e.trialAt == 0 || at > e.trialAt+clockTolerance {
 			e.trialAt, changed = at, true
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -155,10 +155,10 @@
 	// quarantined has the crashes in a row of those that are logged as quarantined.
 	suspectsKnown atomic.Bool
 	quarantined   map[poison.Fingerprint]int
-	// storedQuarantine has the number of crashes in the rows of quarantined requests that
-	// this VM has read from the store, or written there in quarantineEra.
+	// storedQuarantine has the states of the rows of quarantined requests that this VM has
+	// read from the store, or written there in quarantineEra.
 	quarantineRows    quarantineRows
-	storedQuarantine  map[poison.Fingerprint]int
+	storedQuarantine  map[poison.Fingerprint]quarantineState
 	quarantineEra     uint64
 	quarantineLoaded  bool
 	storingQuarantine bool
@@ -166,6 +166,10 @@
 	// suspectsInProgress counts the suspect requests that this VM has sent to each server.
 	lostConns          map[string]*lostServer
 	suspectsInProgress map[string]int
+	// unannounced are requests in progress at crashes of which this VM has not told the
+	// others. announcing is set for announceInterval after it told them of some.
+	unannounced []poison.Fingerprints
+	announcing  bool
 	// unservedUntil is when requests for a service may be relayed again.
 	unservedUntil map[string]time.Duration
 }
@@ -183,7 +187,7 @@
 		settings: settings, log: log, start: start, incarnation: incarnation, metrics: telemetry.New(start),
 		store: adapter.NewStore(settings.StoreAddress, storeTransport),
 		links: linkhealth.New(), relays: relay.NewSelector(rand.Float64), unservedUntil: make(map[string]time.Duration),
-		quarantined: make(map[poison.Fingerprint]int), storedQuarantine: make(map[poison.Fingerprint]int), lostConns: make(map[string]*lostServer), suspectsInProgress: make(map[string]int),
+		quarantined: make(map[poison.Fingerprint]int), storedQuarantine: make(map[poison.Fingerprint]quarantineState), lostConns: make(map[string]*lostServer), suspectsInProgress: make(map[string]int),
 		fatalErrors: make(chan error, 1), hubClient: newHubClient(), replicas: newReplicas(),
 		hubReadWake: make(chan struct{}, 1), heartbeatWake: make(chan struct{}, 1),
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
--- a/entry/gateway/poison.go
+++ b/entry/gateway/poison.go
@@ -23,6 +23,16 @@
 	// lostConnTime is how long after the end of a connection another server at the address
 	// shows that the server crashed.
 	lostConnTime = 5 * time.Second
+	// trialClaimTime is how long a VM waits between claiming a trial and sending the
+	// request. It is above the time that a message to another VM takes.
+	trialClaimTime = 150 * time.Millisecond
+	// announceTime is the time over which a message to all VMs is spread.
+	announceTime = 50 * time.Millisecond
+	// announceInterval is the shortest time between two announcements of crashes by one VM,
+	// and maxAnnounced bounds the requests in each. When many servers end at once, the rest
+	// is left to the reports.
+	announceInterval = 100 * time.Millisecond
+	maxAnnounced     = 8
 	// maxLostRequests bounds the requests in progress at one server that are remembered.
 	maxLostRequests = 64
 )
@@ -44,26 +54,57 @@
 }
 
 // checkQuarantine reports whether the request must not be sent because it crashes the
-// servers that run it, and otherwise whether it is suspect.
+// servers that run it.
 func (r *request) checkQuarantine() (retryAfter time.Duration, quarantined bool) {
-	n := r.node
-	if !n.suspectsKnown.Load() || r.trial && r.attempts == 0 && r.connectFailures > 0 {
-		// A trial that did not reach a server goes on.
+	if r.trial && r.attempts == 0 {
 		return 0, false
 	}
+	verdict := r.verdict()
+	r.suspect = r.suspect || verdict.Suspect
+	if verdict.Quarantined {
+		r.node.metrics.Count(1, "quarantine", "rejected")
+	}
+	return verdict.RetryAfter, verdict.Quarantined
+}
+
+func (r *request) verdict() poison.Verdict {
+	n := r.node
+	if !n.suspectsKnown.Load() {
+		return poison.Verdict{}
+	}
 	fingerprints := r.fingerprints()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	verdict := n.peers.Suspects().Check(n.now(), fingerprints, r.hasOtherVersion)
-	r.suspect, r.trial, r.placement.Excluded = r.suspect || verdict.Suspect, verdict.Trial, nil
-	if verdict.Quarantined {
+	return n.peers.Suspects().Check(n.now(), fingerprints, r.hasOtherVersion)
+}
+
+// claimTrial claims the trial of a quarantined request, if one is due. It reports whether
+// the request may be sent.
+func (r *request) claimTrial(ctx context.Context) (retryAfter time.Duration, ok bool) {
+	verdict := r.verdict()
+	if !verdict.Trial {
+		return 0, true
+	}
+	n := r.node
+	n.mu.Lock()
+	now := n.now()
+	n.peers.Suspects().ClaimTrial(now, r.fingerprints(), n.settings.VM)
+	n.announceSuspects(n.peers.OtherVMs(), n.peers.Suspects().Shares(now, r.fingerprints()))
+	n.mu.Unlock()
+	n.sleep(ctx, trialClaimTime)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.peers.Suspects().HoldsTrial(r.fingerprints(), n.settings.VM) {
 		n.metrics.Count(1, "quarantine", "rejected")
-		return verdict.RetryAfter, true
+		return poison.TrialTimeout, false
 	}
-	if verdict.Trial && verdict.NewVersionOnly {
+	n.log.Info("quarantined request is tried", "id", r.callerHeaders.AttemptID, "fingerprint", r.fingerprints().Exact().String(), "otherVersionOnly", verdict.NewVersionOnly)
+	n.metrics.Count(1, "quarantine", "trial")
+	r.trial = true
+	if verdict.NewVersionOnly {
 		r.placement.Excluded = func(s *steering.Server) bool { return slices.Contains(verdict.CrashedVersions, s.Version) }
 	}
-	return 0, false
+	return 0, true
 }
 
 // hasOtherVersion reports whether the request may be served by software of another version
@@ -96,18 +137,6 @@
 	return choice
 }
 
-// startSuspect records that a suspect request is sent to a server. The caller holds mu.
-func (r *request) startSuspect(now time.Duration, server string) {
-	n := r.node
-	n.suspectsInProgress[server]++
-	if r.trial {
-		n.log.Info("quarantined request is tried", "id", r.callerHeaders.AttemptID, "fingerprint", r.fingerprints().Exact().String(), "server", server)
-		n.metrics.Count(1, "quarantine", "trial")
-		n.peers.Suspects().TrialStarted(now, r.fingerprints())
-		n.announceSuspects(now, r.fingerprints())
-	}
-}
-
 // finishSuspect records what an attempt that was sent at sentAt says about the request and
 // the server. The caller holds mu.
 func (r *request) finishSuspect(now time.Duration, server *steering.Server, response *upstream.Response, sentAt time.Duration, trace upstream.Trace, err error) {
@@ -125,7 +154,7 @@
 	case isCompleted(response):
 		if n.suspectsKnown.Load() && n.peers.Suspects().Survived(now, r.fingerprints()) {
 			n.applySuspects(now)
-			n.announceSuspects(now, r.fingerprints())
+			n.announceSuspects(n.peers.UrgentTargets(now), n.peers.Suspects().Shares(now, r.fingerprints()))
 		}
 	case err != nil && trace.Sent && isConnLost(err):
 		r.suspect = true
@@ -194,12 +223,13 @@
 	if lost.server.Incarnation != 0 {
 		identity += "@" + strconv.FormatInt(lost.server.Incarnation, 36)
 	}
-	var suspects []poison.Fingerprints
 	for _, request := range requests {
 		n.peers.Suspects().Crashed(now, request.fingerprints, poison.Crash{
 			Server: identity, Version: lost.server.Version, SentAt: request.sentAt, At: request.at,
 		})
-		suspects = append(suspects, request.fingerprints)
+		if len(n.unannounced) < maxAnnounced {
+			n.unannounced = append(n.unannounced, request.fingerprints)
+		}
 	}
 	n.metrics.Count(1, "server_crashes")
 	if ok, omitted := n.logLimiter.Allow(now, "crash"); ok {
@@ -207,7 +237,27 @@
 			"evidence", evidence, "inProgress", len(requests), "omitted", omitted)
 	}
 	n.applySuspects(now)
-	n.announceSuspects(now, suspects...)
+	n.announceCrashes(now)
+}
+
+// announceCrashes tells other VMs of the requests that were in progress at crashes, now or
+// when announceInterval has passed. The caller holds mu.
+func (n *Node) announceCrashes(now time.Duration) {
+	if n.announcing || len(n.unannounced) == 0 {
+		return
+	}
+	var suspects []poison.Shared
+	for _, request := range n.unannounced {
+		suspects = append(suspects, n.peers.Suspects().Shares(now, request)...)
+	}
+	n.announceSuspects(n.peers.UrgentTargets(now), suspects)
+	n.unannounced, n.announcing = nil, true
+	time.AfterFunc(announceInterval, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.announcing = false
+		n.announceCrashes(n.now())
+	})
 }
 
 // serverInUse returns the registration of a server, unless it was removed or belongs to a
@@ -221,23 +271,16 @@
 	return nil
 }
 
-// announceSuspects tells other VMs at once what is known of requests. The caller holds mu.
-func (n *Node) announceSuspects(now time.Duration, requests ...poison.Fingerprints) {
-	var message peerMessage
-	for _, request := range requests {
-		message.Suspects = append(message.Suspects, n.peers.Suspects().Shares(now, request)...)
-	}
-	messages := make(map[string]peerMessage)
-	for _, vm := range n.peers.UrgentTargets(now) {
-		messages[vm] = message
+// announceSuspects tells other VMs at once what is known of requests. Reports and digests
+// repeat it. The caller holds mu.
+func (n *Node) announceSuspects(vms []string, suspects []poison.Shared) {
+	messages := make(map[string]peerMessage, len(vms))
+	for _, vm := range vms {
+		messages[vm] = peerMessage{Suspects: suspects}
 	}
-	view := n.view.Load()
-	go n.sendPaced(context.Background(), view, messages, announceTime)
+	go n.sendPaced(context.Background(), n.view.Load(), messages, announceTime)
 }
 
-// announceTime is the time over which a message to all VMs is spread.
-const announceTime = 100 * time.Millisecond
-
 // applySuspects makes what is known of requests effective and logs what changed. The caller
 // holds mu.
 func (n *Node) applySuspects(now time.Duration) {
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -455,3 +455,18 @@
 		require.ErrorIs(t, err, ErrQuarantineRow, raw)
 	}
 }
+
+// Guards against VMs that all try a quarantined request at the moment when it is due.
+func TestOneVMTriesAQuarantinedRequest(t *testing.T) {
+	runCrashes(t, 4, nil, func(f *fleet, s *crashingServers) {
+		f.serve(context.Background(), "vm-1", "GET", poisonTarget)
+		require.Equal(t, 2, s.total())
+		time.Sleep(settleTime)
+		var callers sync.WaitGroup
+		for vm := range f.nodes {
+			callers.Go(func() { f.serve(context.Background(), vm, "GET", poisonTarget) })
+		}
+		callers.Wait()
+		require.Equal(t, 3, s.total())
+	})
+}
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,7 +77,7 @@
 			continue
 		}
 		n.peers.Suspects().Merge(now, suspect)
-		n.storedQuarantine[suspect.Fingerprint] = len(suspect.Crashes)
+		n.storedQuarantine[suspect.Fingerprint] = stateOf(suspect)
 	}
 	n.quarantineLoaded = true
 	n.applySuspects(now)
@@ -93,7 +94,7 @@
 		n.quarantineEra = era
 		clear(n.storedQuarantine)
 	}
-	put, crashes, deleted := n.changedQuarantine(now)
+	put, states, deleted := n.changedQuarantine(now)
 	if len(put)+len(deleted) == 0 {
 		return
 	}
@@ -113,23 +114,28 @@
 			return
 		}
 		n.metrics.Count(1, "store_calls", adapter.TableQuarantine, "ok")
-		for f, count := range crashes {
-			n.storedQuarantine[f] = count
-		}
+		maps.Copy(n.storedQuarantine, states)
 		for _, f := range deleted {
 			delete(n.storedQuarantine, f)
 		}
 	}()
 }
 
-// changedQuarantine returns the rows to write, with the crashes that they contain, and the
-// requests whose rows are to be deleted. The caller holds mu.
-func (n *Node) changedQuarantine(now time.Duration) (put map[string][]byte, crashes map[poison.Fingerprint]int, deleted []poison.Fingerprint) {
-	put, crashes = make(map[string][]byte), make(map[poison.Fingerprint]int)
+// quarantineState is what decides whether a row is written again.
+type quarantineState struct{ crashes, trials, releases int }
+
+func stateOf(s poison.Shared) quarantineState {
+	return quarantineState{len(s.Crashes), s.Trials, s.Releases}
+}
+
+// changedQuarantine returns the rows to write, with their states, and the requests whose
+// rows are to be deleted. The caller holds mu.
+func (n *Node) changedQuarantine(now time.Duration) (put map[string][]byte, states map[poison.Fingerprint]quarantineState, deleted []poison.Fingerprint) {
+	put, states = make(map[string][]byte), make(map[poison.Fingerprint]quarantineState)
 	suspects := n.peers.Suspects()
 	for f := range n.quarantined {
 		s, _ := suspects.Share(now, f)
-		if n.storedQuarantine[f] == len(s.Crashes) || len(put) >= maxQuarantineWrites {
+		if n.storedQuarantine[f] == stateOf(s) || len(put) >= maxQuarantineWrites {
 			continue
 		}
 		raw, err := json.Marshal(quarantineRow{time.Now().UnixMilli(), s})
@@ -137,14 +143,14 @@
 			n.log.Info("quarantined request could not be encoded", "error", err.Error())
 			continue
 		}
-		put[f.String()], crashes[f] = raw, len(s.Crashes)
+		put[f.String()], states[f] = raw, stateOf(s)
 	}
 	for f := range n.storedQuarantine {
 		if _, quarantined := n.quarantined[f]; !quarantined && len(deleted) < maxQuarantineWrites {
 			deleted = append(deleted, f)
 		}
 	}
-	return put, crashes, deleted
+	return put, states, deleted
 }
 
 func fingerprintKeys(fingerprints []poison.Fingerprint) []string {
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -270,6 +270,9 @@
 // forward sends the request to one backend server after another until it has a
 // response for the caller.
 func (r *request) forward(ctx context.Context) *ingress.Response {
+	if retryAfter, ok := r.claimTrial(ctx); !ok {
+		return r.giveUp(placement.Choice{Reason: placement.Quarantined, RetryAfter: retryAfter})
+	}
 	for {
 		if ctx.Err() != nil {
 			return r.reject(statusCallerLeft, 0, "caller left")
@@ -358,7 +361,7 @@
 	n.picker.RequestStarted(now, &r.placement, choice)
 	n.links.RequestSent(choice.Server.ID)
 	if r.suspect {
-		r.startSuspect(now, choice.Server.ID)
+		n.suspectsInProgress[choice.Server.ID]++
 	}
 	return choice
 }
