--- a/measure/steersim/experiments.go
+++ b/measure/steersim/experiments.go
@@ -94,7 +94,8 @@
 		}
 	}
 	out = append(out, rateExperiments()...)
-	return append(out, limitExperiments()...)
+	out = append(out, limitExperiments()...)
+	return append(out, crashExperiments()...)
 }
 
 // run simulates the scenario with the core policy and with each baseline.
--- a/measure/steersim/policy.go
+++ b/measure/steersim/policy.go
@@ -41,6 +41,8 @@
 	hideObject, hidePriority bool
 	// ignoreLimits withholds the limits that servers name from the chooser.
 	ignoreLimits bool
+	// crashMemory is what VMs remember of requests that crash servers.
+	crashMemory crashMemory
 	// shares is how the VM divides its requests among regions.
 	shares shareMode
 }
--- a/measure/steersim/server.go
+++ b/measure/steersim/server.go
@@ -16,6 +16,7 @@
 	clock         *virtual.Clock
 	rnd           *rand.Rand
 	running       int
+	inProgress    []*job
 	queue         []*job
 	recentObjects []uint64
 	// slowFactor multiplies the work of each request. failureFraction is the fraction
@@ -30,6 +31,11 @@
 	limit                  float64
 	limitedAt, limitEndsAt time.Duration
 	arrivals               []arrival
+	// downUntil is when the server is back after a crash; crashes counts those.
+	downUntil time.Duration
+	crashes   int
+	// crashed is called at a crash; nil if there is none.
+	crashed func()
 	// toldAt is when each VM first passed on a response that names the limit.
 	toldAt map[string]time.Duration
 }
@@ -80,7 +86,9 @@
 type job struct {
 	object uint64
 	vm     string
-	done   func(outcome)
+	// crashes is set if the server crashes when it runs the request.
+	crashes bool
+	done    func(outcome)
 }
 
 // outcome is the kind of response that a server gives.
@@ -90,10 +98,18 @@
 	succeeded outcome = iota
 	failed
 	shed
+	// lost is a request that was in progress when the server crashed, refused one that
+	// came while it was down.
+	lost
+	refused
 )
 
 // accept fails, starts, sheds or queues a request.
 func (s *server) accept(j *job) {
+	if s.clock.Elapsed() < s.downUntil {
+		j.done(refused)
+		return
+	}
 	s.arrivals = append(s.arrivals, arrival{s.clock.Elapsed(), j.vm})
 	switch {
 	case s.rnd.Float64() < s.failureFraction:
@@ -116,7 +132,17 @@
 	}
 	s.workMS += ms
 	s.started++
+	s.inProgress = append(s.inProgress, j)
+	if j.crashes {
+		s.clock.After(crashAfter, s.crash)
+		return
+	}
 	s.clock.After(time.Duration(ms*float64(time.Millisecond)), func() {
+		i := slices.Index(s.inProgress, j)
+		if i < 0 {
+			return
+		}
+		s.inProgress = slices.Delete(s.inProgress, i, i+1)
 		s.running--
 		if len(s.queue) > 0 {
 			next := s.queue[0]
--- a/measure/steersim/world.go
+++ b/measure/steersim/world.go
@@ -9,6 +9,7 @@
 	"github.com/cassiawind/cassiawind/core/demand"
 	"github.com/cassiawind/cassiawind/core/exchange"
 	"github.com/cassiawind/cassiawind/core/placement"
+	"github.com/cassiawind/cassiawind/core/poison"
 	"github.com/cassiawind/cassiawind/core/regionflow"
 	"github.com/cassiawind/cassiawind/core/retrybudget"
 	"github.com/cassiawind/cassiawind/measure/virtual"
@@ -53,6 +54,8 @@
 	// Requests in timedOut reached their deadline during an attempt.
 	arrived, inTime, late, rejected, timedOut [priorities]int
 	attempts                                  int
+	// crashing describes the requests that crash servers.
+	crashing crashingRequests
 	// limited counts the requests that were rejected because of the limits of servers,
 	// limitedRetryAfter is the sum of their Retry-After times.
 	limited           int
@@ -69,6 +72,10 @@
 	flow        regionflow.Flow
 	retryBudget *retrybudget.Budget
 	demandKnown bool
+	// startedAt is when the VM last started.
+	startedAt time.Duration
+	// ownSuspects is used in place of the suspects that VMs exchange, if the policy says so.
+	ownSuspects *poison.Book
 }
 
 // simulate runs a workload with a policy.
@@ -105,7 +112,7 @@
 	w.fleet = newPeerNetwork(w.Clock, w.site)
 	vms := w.fleet.names()
 	for i, p := range w.fleet.all {
-		v := &vm{peer: p, world: w, retryBudget: retrybudget.New(retryLimits)}
+		v := &vm{peer: p, world: w, retryBudget: retrybudget.New(retryLimits), ownSuspects: poison.New()}
 		if w.policy.newChooser == nil {
 			v.chooser = newCoreChooser(w.site, p.name, p.region, vms)
 		} else {
@@ -125,7 +132,7 @@
 	w := v.world
 	now := w.Elapsed()
 	vms := w.fleet.names()
-	v.killed = false
+	v.killed, v.startedAt = false, now
 	v.exchange, v.meter = exchange.New(v.name, int64(now), now), demand.New()
 	v.exchange.SetRoster(w.fleet.roster)
 	v.chooser, v.flow, v.demandKnown = newCoreChooser(w.site, v.name, v.region, vms), regionflow.Flow{}, false
@@ -199,6 +206,7 @@
 	if w.policy.hidePriority {
 		r.placement.Priority = 1
 	}
+	r.content = contentOf(object, w.rnd.IntN(accountCount))
 	w.arrived[priority]++
 	workMS := float64(coldWorkMS * warmWorkFraction)
 	if c, ok := v.chooser.(coreChooser); ok {
@@ -216,12 +224,19 @@
 	arrivedAt time.Duration
 	placement placement.Request
 	attempts  int
+	// content identifies the request; crashes is set if it crashes servers. trial is set
+	// once a trial was claimed.
+	content        poison.Fingerprints
+	crashes, trial bool
 }
 
 // send starts an attempt. It rejects the request if there is no usable server, all
 // attempts are used, or the retry budget is used up.
 func (r *request) send() {
 	w, now := r.vm.world, r.vm.world.Elapsed()
+	if r.isHeldBack() {
+		return
+	}
 	r.placement.Remaining = r.arrivedAt + deadline - now
 	r.placement.Waited = now - r.arrivedAt
 	choice := r.vm.chooser.pick(now, &r.placement)
@@ -305,11 +320,15 @@
 		r.handleResult(result)
 	}
 	w.After(delay, func() {
-		server.accept(&job{object: r.object, vm: r.vm.name, done: func(o outcome) {
+		if r.crashes && w.Elapsed()-r.vm.startedAt >= crashNotice {
+			w.crashing.arrivals = append(w.crashing.arrivals, w.Elapsed())
+		}
+		server.accept(&job{object: r.object, vm: r.vm.name, crashes: r.crashes, done: func(o outcome) {
 			running, waiting, namesLimit := server.running, len(server.queue), server.namesLimit(w.Elapsed())
 			w.After(delay, func() {
 				r.vm.chooser.loadReported(w.Elapsed(), choice.Server.ID, running, waiting)
 				r.vm.recordLimit(server, now, namesLimit)
+				r.recordOutcome(server, now, o)
 				complete(resultOf(o))
 			})
 		}})
@@ -355,7 +374,7 @@
 }
 
 func resultOf(o outcome) placement.Result {
-	return [...]placement.Result{succeeded: placement.Succeeded, failed: placement.Failed, shed: placement.Shed}[o]
+	return [...]placement.Result{succeeded: placement.Succeeded, failed: placement.Failed, shed: placement.Shed, lost: placement.Failed, refused: placement.Unreachable}[o]
 }
 
 // handleResult handles the result of an attempt: it counts the request, or retries it
