measure: restarted VMs read the quarantine, and crashing requests are not missed

The model's VMs restarted with nothing, while the gateway's read the table of the store; with it the test passes.

--- a/measure/steersim/crashes.go
+++ b/measure/steersim/crashes.go
@@ -114,7 +114,7 @@
 				Service: serviceName, Route: routeName, Object: r.object, Priority: 1, Objective: objective,
 				PreferredRegion: v.flow.ChooseRegion(v.region, placement.ObjectFraction(r.object)),
 			}
-			w.arrived[1]++
+			// It is not counted as arrived: its caller cannot be served.
 			r.send()
 		})
 		for _, vms := range w.vmsByRegion {
@@ -157,6 +157,21 @@
 	}
 }
 
+// readQuarantine reads what the hubs have written to the store.
+func (v *vm) readQuarantine() {
+	now := v.world.Elapsed()
+	for _, p := range v.world.fleet.all {
+		if p.killed || !p.exchange.IsHub(now) {
+			continue
+		}
+		for f := range p.exchange.Suspects().Quarantined() {
+			if s, ok := p.exchange.Suspects().Share(now, f); ok {
+				v.exchange.Suspects().Merge(now, s)
+			}
+		}
+	}
+}
+
 // isHeldBack reports whether the request is rejected because it crashes servers, or waits
 // for its trial.
 func (r *request) isHeldBack() bool {
--- a/measure/steersim/world.go
+++ b/measure/steersim/world.go
@@ -135,6 +135,7 @@
 	v.killed, v.startedAt = false, now
 	v.exchange, v.meter = exchange.New(v.name, int64(now), now), demand.New()
 	v.exchange.SetRoster(w.fleet.roster)
+	v.readQuarantine()
 	v.chooser, v.flow, v.demandKnown = newCoreChooser(w.site, v.name, v.region, vms), regionflow.Flow{}, false
 	v.updateShares()
 	for _, s := range w.serverList {
