standin/soak: requests that crash servers

A request, lookup or booking, comes each 150 ms at a random gateway; a server that runs it closes its connections, refuses new ones for 1.2 s and starts again under its id with a later start time. Checked: from 3 s after the third crash on, gateways that were not interrupted or cut send it to servers three times at most, not counting runs in which all gateways were killed around a fault of the store.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,8 +49,11 @@
 	executions                 *executionLog
 	proxy                      *proxy
 	slots                      chan struct{}
-	// sequence counts the registrations.
-	sequence atomic.Int64
+	store                      *platformstore.Store
+	// sequence counts the registrations, born the starts. registered is set while the
+	// server is registered as ready, down while it has crashed.
+	sequence, born   atomic.Int64
+	registered, down atomic.Bool
 
 	mu        sync.Mutex
 	behaviour behaviour
@@ -60,7 +64,7 @@
 
 // newBackendServer starts a server that listens on address; gateways reach it
 // through a proxy at proxyAddress.
-func newBackendServer(id, service, failureDomain, address, proxyAddress string, executions *executionLog) (*backendServer, error) {
+func newBackendServer(id, service, failureDomain, address, proxyAddress string, store *platformstore.Store, executions *executionLog) (*backendServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -69,20 +73,28 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backendServer{id: id, service: service, failureDomain: failureDomain, listener: listener, executions: executions, proxy: proxy, slots: make(chan struct{}, 16)}
+	b := &backendServer{id: id, service: service, failureDomain: failureDomain, listener: listener, executions: executions, proxy: proxy, store: store, slots: make(chan struct{}, 16)}
+	b.born.Store(1)
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	return b, nil
 }
 
 // register writes the registration of the server to the store.
-func (b *backendServer) register(s *platformstore.Store, state string) error {
-	return s.Put("servers", b.id, map[string]any{
-		"service": b.service, "address": b.proxy.listener.Addr().String(), "zone": b.failureDomain, "version": "v1", "slots": 16,
-		"state": state, "cold_left": "0ms", "sequence": b.sequence.Add(1), "born": 1,
+func (b *backendServer) register(state string) error {
+	b.registered.Store(state == "ready")
+	return b.store.Put("servers", b.id, map[string]any{
+		"service": b.service, "address": b.proxy.address, "zone": b.failureDomain, "version": "v1", "slots": 16,
+		"state": state, "cold_left": "0ms", "sequence": b.sequence.Add(1), "born": b.born.Load(),
 	})
 }
 
+// unregister removes the registration.
+func (b *backendServer) unregister() {
+	b.registered.Store(false)
+	b.store.Delete("servers", b.id)
+}
+
 func (b *backendServer) setLimit(perSecond float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -145,6 +157,10 @@
 		time.Sleep(10 * serviceTime)
 	}
 	time.Sleep(serviceTime)
+	if strings.Contains(r.URL.Path, crashMarker) {
+		b.crash()
+		panic(http.ErrAbortHandler)
+	}
 	b.nameLimit(w.Header())
 	switch current {
 	case behaviour(ServerAborts):
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"path"
 	"strings"
 	"sync"
 	"time"
@@ -108,15 +109,23 @@
 	}
 }
 
-// attempt sends one request and records its outcome.
+// attempt sends one request for an object and records its outcome.
 func (c *caller) attempt(n int, gateway string, atMostOnce bool, object int) {
+	if atMostOnce {
+		c.send(n, gateway, true, fmt.Sprintf("/book/%d", object), fmt.Sprintf("body of c%d-%d", c.index, n))
+		return
+	}
+	c.send(n, gateway, false, fmt.Sprintf("/look/%d?n=%d", object, n), "")
+}
+
+// send sends a booking or a lookup to a target and records its outcome.
+func (c *caller) send(n int, gateway string, atMostOnce bool, target, body string) {
 	o := outcome{
-		id: fmt.Sprintf("c%d-%d", c.index, n), key: c.key, account: c.account, atMostOnce: atMostOnce, gateway: gateway,
-		path: fmt.Sprintf("/look/%d?n=%d", object, n), sent: time.Now(),
+		id: fmt.Sprintf("c%d-%d", c.index, n), key: c.key, account: c.account, atMostOnce: atMostOnce, gateway: gateway, path: target, sent: time.Now(),
 	}
-	method, body := http.MethodGet, ""
+	method := http.MethodGet
 	if atMostOnce {
-		method, body, o.path = http.MethodPost, "body of "+o.id, fmt.Sprintf("/book/%d", object)
+		method = http.MethodPost
 	}
 	// The transport does not retry a request whose body cannot be read again.
 	req, err := http.NewRequest(method, "http://"+gateway+o.path, io.NopCloser(strings.NewReader(body)))
@@ -131,7 +140,7 @@
 	req.Header.Set("X-Attempt-Id", o.id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+c.key)
-	req.Header.Set("Cookie", fmt.Sprintf("X-Affinity-Key=%d", object))
+	req.Header.Set("Cookie", "X-Affinity-Key="+path.Base(req.URL.Path))
 	resp, err := c.client.Do(req)
 	if err != nil {
 		o.connBroken, o.finished = true, time.Now()
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -77,6 +77,7 @@
 	}
 	tb.checkRate(report)
 	tb.checkLimits(sent, report)
+	tb.checkCrashes(sent, report)
 	tb.checkGatewayCuts(report)
 	tb.checkRecovery(report)
 	return violations
--- a/standin/soak/doc.go
+++ b/standin/soak/doc.go
@@ -12,6 +12,7 @@
 //     longer used after their bounds;
 //   - an account stays within its rate and tolerance;
 //   - a planned stop breaks no request;
+//   - a request that crashes the servers which run it is kept away from them;
 //   - requests are served again after the faults.
 //
 // Each gateway is a process; the stand-ins run in the test process, which sees
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -43,6 +43,7 @@
 	LinkOneWay           Kind = "answers of server held back"
 	LinkConnsBlackholed  Kind = "link to server forgets"
 	GatewayCut           Kind = "gateway cut from all servers"
+	CrashingRequests     Kind = "request that crashes servers"
 )
 
 // kinds are the faults of gateways, the store, backend servers and the operator.
@@ -101,6 +102,7 @@
 	plan = append(plan, limitPlan(seed, faultPeriod, serverCount)...)
 	plan = append(plan, vanishPlan(seed, faultPeriod, serverCount)...)
 	plan = append(plan, gatewayCutPlan(seed, faultPeriod, gatewayCount)...)
+	plan = append(plan, crashPlan(seed, faultPeriod)...)
 	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -27,12 +27,12 @@
 // proxy forwards TCP connections from one gateway to the store, or from all
 // gateways to a backend server.
 type proxy struct {
-	listener net.Listener
-	target   string
+	address, target string
 
-	mu    sync.Mutex
-	mode  proxyMode
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	mode     proxyMode
+	conns    map[net.Conn]bool
 	// blackholed holds the connections that were open when blackholeOpen was set.
 	blackholed map[net.Conn]bool
 	// modeChanged is closed and replaced when the mode is set.
@@ -46,8 +46,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool), blackholed: make(map[net.Conn]bool), aborted: make(map[string]bool), modeChanged: make(chan struct{})}
-	go p.acceptLoop()
+	p := &proxy{address: listener.Addr().String(), listener: listener, target: target, conns: make(map[net.Conn]bool), blackholed: make(map[net.Conn]bool), aborted: make(map[string]bool), modeChanged: make(chan struct{})}
+	go p.acceptLoop(listener)
 	return p, nil
 }
 
@@ -100,9 +100,9 @@
 	}
 }
 
-func (p *proxy) acceptLoop() {
+func (p *proxy) acceptLoop(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -158,6 +158,8 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.setMode(refuse)
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -92,6 +92,25 @@
 	require.Empty(t, violations)
 }
 
+// Guards against gateways that lose one server after the other to a request which comes
+// again, while gateways are killed, all at once too, stopped and suspended, and while the
+// store is away.
+func TestRequestsThatCrashServers(t *testing.T) {
+	plan := []Event{
+		{Start: time.Second, Kind: CrashingRequests, Target: 0, Duration: 14 * time.Second},
+		{Start: 3 * time.Second, Kind: CrashingRequests, Target: 1, Duration: 12 * time.Second},
+		{Start: 4 * time.Second, Kind: StoreUnavailable, Duration: time.Second},
+		{Start: 6 * time.Second, Kind: Kill, Target: 0},
+		{Start: 7 * time.Second, Kind: PlannedStop, Target: 1},
+		{Start: 8 * time.Second, Kind: Pause, Target: 2, Duration: time.Second},
+		{Start: 9 * time.Second, Kind: ConfigChange},
+		{Start: 12 * time.Second, Kind: KillAll},
+	}
+	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 5, Plan: plan})
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
 // Guards against plans that differ between runs of the same seed.
 func TestPlanIsDeterministic(t *testing.T) {
 	require.Equal(t, Plan(7, 20*time.Second, gatewayCount, serverCount), Plan(7, 20*time.Second, gatewayCount, serverCount))
@@ -102,7 +121,7 @@
 			drawn[e.Kind] = true
 		}
 	}
-	require.Len(t, drawn, len(kinds)+len(linkKinds)+4, "every kind of fault must be drawn")
+	require.Len(t, drawn, len(kinds)+len(linkKinds)+5, "every kind of fault must be drawn")
 }
 
 // checkViolations returns the violations that the checks find in synthetic records.
@@ -189,4 +208,13 @@
 	killed := appliedFault{kind: Kill, start: now.Add(-time.Second)}
 	require.Empty(t, checkViolations([]outcome{valid}, map[string][]execution{"a": arrivals}, limit, killed))
 	require.Contains(t, checkViolations(nil, nil)[0], "0 of 0 requests were served")
+	crash := valid
+	crash.path = "/look" + crashMarker + "1"
+	var crashed []execution
+	for i := range 7 {
+		crashed = append(crashed, execution{at: now.Add(time.Duration(i) * 2 * crashNotice), server: "s", account: "free", path: crash.path})
+	}
+	require.Contains(t, checkViolations([]outcome{crash}, map[string][]execution{"a": crashed})[0], "reached servers 4 times more")
+	require.Contains(t, checkViolations([]outcome{crash}, map[string][]execution{"a": crashed[:6]})[0], "was answered with 200")
+	require.NotContains(t, checkViolations([]outcome{crash}, map[string][]execution{"a": crashed}, killed)[0], "reached servers")
 }
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -173,12 +173,12 @@
 		if i >= serverCount/2 {
 			service = "hall"
 		}
-		b, err := newBackendServer(fmt.Sprintf("i-%d", i), service, failureDomains[i%len(failureDomains)], tb.address(100+i, 8000), tb.address(150+i, 8000), tb.executions)
+		b, err := newBackendServer(fmt.Sprintf("i-%d", i), service, failureDomains[i%len(failureDomains)], tb.address(100+i, 8000), tb.address(150+i, 8000), tb.store, tb.executions)
 		if err != nil {
 			return nil, errors.Wrap(ErrStart, err.Error())
 		}
 		tb.backends = append(tb.backends, b)
-		if err := b.register(tb.store, "ready"); err != nil {
+		if err := b.register("ready"); err != nil {
 			return nil, errors.Wrap(ErrStart, err.Error())
 		}
 	}
@@ -248,7 +248,7 @@
 			"listen":         map[string]any{"front": ip + ":8206", "ready": ip + ":8201", "directory": ip + ":8209"},
 			"internal_ports": []int{7600, 7615}, "zones": regionOf,
 		},
-		"platform": map[string]any{"heartbeat": "1500ms", "platform": map[string]any{"address": storeProxy.listener.Addr().String()}},
+		"platform": map[string]any{"heartbeat": "1500ms", "platform": map[string]any{"address": storeProxy.address}},
 		"terms": map[string]any{"bounds": map[string]any{
 			"drain": "2000ms", "grace_period": "6s", "config_apply": "2000ms", "retry_budget_ratio": 0.2, "retry_budget_slack": 60,
 			"budget_window": "10s", "quota_tolerance": 0.1, "quota_slack": 20, "quota_window": "5s", "cold_over": 1.5, "cold_slack": 5,
@@ -479,6 +479,8 @@
 		if err := tb.writeConfig(); err != nil {
 			panic(err)
 		}
+	case CrashingRequests:
+		tb.sendCrashingRequests(e)
 	case ServerLimits:
 		tb.backends[e.Target].setLimit(fault.limit)
 		time.Sleep(e.Duration)
@@ -524,26 +526,26 @@
 		tb.store.Delete("op", key)
 	case ServerVanishes:
 		b := tb.backends[e.Target]
-		tb.store.Delete("servers", b.id)
+		b.unregister()
 		time.Sleep(drainDuration)
-		if err := b.register(tb.store, "ready"); err != nil {
+		if err := b.register("ready"); err != nil {
 			panic(err)
 		}
 	case ServerDrains:
 		b := tb.backends[e.Target]
-		if err := b.register(tb.store, "draining"); err != nil {
+		if err := b.register("draining"); err != nil {
 			panic(err)
 		}
 		b.mu.Lock()
 		b.draining = true
 		b.mu.Unlock()
 		time.Sleep(time.Second)
-		tb.store.Delete("servers", b.id)
+		b.unregister()
 		time.Sleep(drainDuration)
 		b.mu.Lock()
 		b.draining = false
 		b.mu.Unlock()
-		if err := b.register(tb.store, "ready"); err != nil {
+		if err := b.register("ready"); err != nil {
 			panic(err)
 		}
 	default:
