gateway: servers that leave or want no requests are heeded from their responses

Neither header was read: a leaving server was used until the store said so, a server that asked for a pause got requests and health checks again at once.

core/placement, notice.go: both notices hold for one start of a server, by id and start time, and outlast its registration, which the store may lose and have again. Leaving servers get nothing more, also if the response came through a relay; paused ones nothing for the time, one hour at most, and pass their rank for objects on like limited ones. While all want none, requests are rejected at once with the shortest time left.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -42,6 +42,8 @@
 	// ServerLimit means that the usable servers get no more requests now because of
 	// the limits that they name.
 	ServerLimit Reason = "server limit"
+	// ServerPause means that the usable servers want no requests from this VM now.
+	ServerPause Reason = "servers want no requests"
 	// Quarantined means that the request crashes the servers that run it. Pick does not
 	// return it.
 	Quarantined Reason = "request crashes servers"
@@ -142,7 +144,7 @@
 // rejection returns the choice that rejects r; c is the best one that was found.
 func (p *Picker) rejection(r *Request, c Choice) Choice {
 	reason := p.rejectionReason(r, c)
-	if reason == ServerLimit {
+	if reason == ServerLimit || reason == ServerPause {
 		return Choice{Reason: reason, RetryAfter: max(c.RetryAfter, minRetryAfter)}
 	}
 	retryAfter := maxRetryAfter
@@ -172,7 +174,7 @@
 		return Choice{Reason: Overloaded}
 	}
 	if chosen == nil && best.limitWait > 0 {
-		return Choice{Reason: ServerLimit, RetryAfter: best.limitWait}
+		return Choice{Reason: best.waitReason, RetryAfter: best.limitWait}
 	}
 	if chosen != nil && chosen.isCold(now) {
 		if ok, _ := chosen.coldBucket.Take(now); !ok {
@@ -189,23 +191,26 @@
 	cost   float64
 	// sawFullServer reports whether there are usable servers without capacity.
 	sawFullServer bool
-	// limitWait is the shortest wait for a usable server that names a limit; 0 if
-	// there is none.
-	limitWait time.Duration
+	// limitWait is the shortest wait for a usable server that names a limit or wants no
+	// requests, and waitReason which of both; 0 if there is none.
+	limitWait  time.Duration
+	waitReason Reason
 }
 
 // cheapest returns the cheapest usable server of list if it is cheaper than
-// best. A ranked list is in the order of the object's servers. A suspended server
-// and one that gets no more requests because of its limit pass their rank to the
-// next one; otherwise their objects would be rejected while the other servers are
+// best. A ranked list is in the order of the object's servers. A suspended or leaving
+// server and one that gets no more requests for a time pass their rank to the next one; otherwise their objects would be rejected while the other servers are
 // in use. A cold server keeps its rank: its objects would return to it within
 // seconds and evict others from the next server meanwhile.
 func (p *Picker) cheapest(now time.Duration, g *serverGroup, r *Request, list []*server, ranked bool, best candidate) candidate {
 	nextRank := rankFirst
 	for i, s := range list {
 		rank := rankOther
-		limitWait := p.limitWait(now, s, r)
-		if ranked && !s.isSuspended(now) && limitWait == 0 {
+		limitWait, waitReason := p.limitWait(now, s, r), ServerLimit
+		if pause := s.pausedUntil - now; pause > limitWait {
+			limitWait, waitReason = pause, ServerPause
+		}
+		if ranked && !s.leaving && !s.isSuspended(now) && limitWait == 0 {
 			rank = nextRank
 			nextRank = min(nextRank+1, rankOther)
 		}
@@ -214,7 +219,7 @@
 		}
 		if limitWait > 0 {
 			if best.limitWait == 0 || limitWait < best.limitWait {
-				best.limitWait = limitWait
+				best.limitWait, best.waitReason = limitWait, waitReason
 			}
 			continue
 		}
@@ -294,7 +299,7 @@
 
 func (p *Picker) usable(now time.Duration, s *server, r *Request) bool {
 	s.decayPenalties(now)
-	if s.isSuspended(now) || slices.Contains(r.Tried, s.registration.ID) || r.Reachable != nil && !r.Reachable(s.registration.ID) {
+	if s.leaving || s.isSuspended(now) || slices.Contains(r.Tried, s.registration.ID) || r.Reachable != nil && !r.Reachable(s.registration.ID) {
 		return false
 	}
 	if r.Excluded != nil && r.Excluded(s.registration) {
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -106,13 +106,14 @@
 	activeSince   time.Duration
 	mayOwnLimits  bool
 	limits        map[string]serverlimit.Limit
+	notices       map[startKey]*notice
 }
 
 // New returns a Picker for the VM self in the given region.
 func New(self, region string) *Picker {
 	return &Picker{
 		vm: self, region: region, groups: make(map[string]*serverGroup), servers: make(map[string]*server),
-		workEstimates: make(map[string]*workEstimate), rttMS: make(map[string]float64),
+		workEstimates: make(map[string]*workEstimate), rttMS: make(map[string]float64), notices: make(map[startKey]*notice),
 	}
 }
 
@@ -171,6 +172,10 @@
 		}
 	}
 	p.groups, p.servers = groups, servers
+	p.forgetNotices(now)
+	for id := range servers {
+		p.applyNotice(id)
+	}
 	p.assignColdServers(now)
 	p.SetLimits(now, p.limits)
 	return removed
@@ -229,7 +234,7 @@
 	capacity := make(map[string]float64)
 	for _, s := range g.servers {
 		s.decayPenalties(now)
-		if !s.needsProbe && !s.isCold(now) && s.failureShare < 0.5 {
+		if !s.needsProbe && !s.leaving && !s.isPaused(now) && !s.isCold(now) && s.failureShare < 0.5 {
 			slots := float64(s.registration.Slots) / max(1, s.slowness)
 			if s.limit.named && g.meanWorkMS > 0 {
 				slots = min(slots, s.limit.perSecond*g.meanWorkMS/1000)
@@ -293,7 +298,7 @@
 func (p *Picker) DueProbes(now time.Duration) []*steering.Server {
 	var due []*steering.Server
 	for _, s := range p.servers {
-		if s.needsProbe && now >= s.suspendedUntil {
+		if s.needsProbe && now >= s.suspendedUntil && !s.leaving && !s.isPaused(now) {
 			due = append(due, s.registration)
 			s.suspensionTime = min(max(2*s.suspensionTime, minSuspension), maxSuspension)
 			s.suspendedUntil = now + s.suspensionTime
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -70,6 +70,9 @@
 	coldBucket     ratelimit.Bucket
 	sharesColdRate bool
 	limit          namedLimit
+	// leaving and pausedUntil are what the server has said of itself.
+	leaving     bool
+	pausedUntil time.Duration
 	// lastUsed is when this VM last requested each object that it tracks.
 	lastUsed map[uint64]time.Duration
 	// inUse is set once this VM has used the server, inUseSince when it first did.
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -163,9 +163,23 @@
 		return r.reject(serverResponse.Status, 0, "relay: "+result.Reason), relay.Answered
 	}
 	serverResponse.Header.Del(relayResponseHeader)
+	r.recordRelayedNotice(serverResponse, result.Server)
 	return r.relayResponse(serverResponse), relay.Answered
 }
 
+// recordRelayedNotice records that a server to which a relay has sent the request leaves. A
+// pause concerns the relay alone.
+func (r *request) recordRelayedNotice(response *upstream.Response, serverID string) {
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.view.Load().Servers[r.placement.Service] {
+		if s.ID == serverID && response.ServerHeaders.Leaving {
+			n.picker.ServerLeaves(n.now(), s)
+		}
+	}
+}
+
 // afterRelayFailure decides what follows a call to a relay that brought no response.
 func (r *request) afterRelayFailure(ctx context.Context, err error) (*ingress.Response, relay.Outcome) {
 	r.reason = "relay: " + err.Error()
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -438,6 +438,9 @@
 	if response != nil && result != placement.Misdirected {
 		n.recordServerLimit(now, now-elapsed, choice.Server, response)
 	}
+	if response != nil && result != placement.Misdirected {
+		n.recordNotice(now, choice.Server, response)
+	}
 	r.finishSuspect(now, choice.Server, response, now-elapsed, trace, err)
 	if trace.Sent && r.attempts == 1 {
 		n.retryBudget(r.placement.Service).AddRequest(now)
