gateway: one relay without a server does not end relaying

- A relay whose links had just come back kept the servers suspended whose connections had failed four times in a row, until probes had succeeded.
The return of the links now ends all suspensions since the loss, but those of servers whose address another one has.
- Its 'no server' ended relaying for the service for 0.5 s.
A second relay now has to agree, or there is no other one.

--- a/core/placement/links.go
+++ b/core/placement/links.go
@@ -58,10 +58,11 @@
 func (p *Picker) Servers() int { return len(p.servers) }
 
 // LinksRestored ends the suspension of the servers that were suspended because the links
-// of this VM were lost, since lostSince.
+// of this VM were lost, since lostSince: servers that were unreachable, or whose connections
+// failed one after the other.
 func (p *Picker) LinksRestored(now, lostSince time.Duration) {
 	for _, s := range p.servers {
-		if s.needsProbe && s.unreachable && !s.registration.Expired && s.suspendedAt >= lostSince-lossNoticeTime {
+		if s.needsProbe && !s.misdirected && !s.registration.Expired && s.suspendedAt >= lostSince-lossNoticeTime {
 			s.needsProbe, s.unreachable, s.suspensionTime, s.suspendedUntil = false, false, 0, now
 			s.failureShare, s.consecutiveFailures = 0, 0
 		}
--- a/core/placement/outcome.go
+++ b/core/placement/outcome.go
@@ -60,7 +60,7 @@
 	case Succeeded:
 		s.consecutiveFailures = 0
 		s.suspensionTime = 0
-		s.unreachable = false
+		s.unreachable, s.misdirected = false, false
 		s.failureShare -= s.failureShare * outcomeWeight
 		s.shedShare -= s.shedShare * outcomeWeight
 		p.recordLatency(r, c, s, elapsed)
@@ -84,6 +84,7 @@
 		s.unreachable = true
 	case Misdirected:
 		s.suspend(now)
+		s.misdirected = true
 	}
 	return s.needsProbe && !wasSuspended
 }
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -314,7 +314,7 @@
 	if s == nil || !s.needsProbe {
 		return
 	}
-	s.needsProbe, s.unreachable, s.suspendedUntil = false, false, now
+	s.needsProbe, s.unreachable, s.misdirected, s.suspendedUntil = false, false, false, now
 	s.coldUntil = max(s.coldUntil, now+cold)
 	if g := p.groups[s.registration.Service]; g != nil && s.isCold(now) {
 		p.assignColdServer(now, g, s)
--- a/core/placement/picker_test.go
+++ b/core/placement/picker_test.go
@@ -564,3 +564,24 @@
 	}
 	require.Equal(t, Overloaded, c.Reason, "full servers are not reported as missing")
 }
+
+// Guards against a VM that rejects requests although its links to the servers are back,
+// because the failures of connections during the loss have suspended the servers.
+func TestRestoredLinksEndSuspensionsThatFailuresCaused(t *testing.T) {
+	p := newTestPicker(testServers("north", 4, 4))
+	fail := func(now time.Duration, server string, result Result, times int) {
+		for range times {
+			p.RequestFinished(now, testRequest(0), Choice{Server: &steering.Server{ID: server}}, result, 0)
+		}
+	}
+	fail(time.Second, "north-0", Failed, maxConsecutiveFailures)
+	fail(9*time.Second, "north-1", Failed, maxConsecutiveFailures)
+	fail(9*time.Second, "north-2", Unreachable, 1)
+	fail(9*time.Second, "north-3", Misdirected, 1)
+	p.LinksRestored(11*time.Second, 10*time.Second)
+	suspended := func(server string) bool { return p.servers[server].isSuspended(11 * time.Second) }
+	require.True(t, suspended("north-0"), "long before the loss")
+	require.False(t, suspended("north-1"))
+	require.False(t, suspended("north-2"))
+	require.True(t, suspended("north-3"), "another server has its address")
+}
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -64,8 +64,10 @@
 	needsProbe bool
 	// unreachable is set if the server was suspended, at suspendedAt, because it did not
 	// answer this VM.
-	unreachable    bool
-	suspendedAt    time.Duration
+	unreachable bool
+	suspendedAt time.Duration
+	// misdirected is set if the server was suspended because another one has its address.
+	misdirected    bool
 	coldUntil      time.Duration
 	coldBucket     ratelimit.Bucket
 	sharesColdRate bool
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -25,7 +25,10 @@
 	// relayConnectTimeout bounds connecting to a relay, in addition to a round trip. A
 	// request may have to try several.
 	relayConnectTimeout = 250 * time.Millisecond
-	// unservedTime is how long requests for a service are not relayed after a relay had no
+	// unservedRelays is the number of relays without a server for a request from which on no
+	// other one is tried: one alone may have lost its links as well, or just regained them.
+	unservedRelays = 2
+	// unservedTime is how long requests for a service are not relayed after relays had no
 	// server for it either.
 	unservedTime = 500 * time.Millisecond
 )
@@ -60,6 +63,9 @@
 	for ctx.Err() == nil {
 		vm, retryAfter := r.selectRelay(tried)
 		if vm == nil {
+			if r.unservedRelays > 0 {
+				r.stopRelaying()
+			}
 			rejection.RetryAfter = retryAfter
 			if len(tried) > 0 {
 				rejection.Reason += placement.Reason("; " + r.reason)
@@ -213,15 +219,23 @@
 	case refusedBusy:
 		return nil, relay.Busy
 	case refusedNoServer:
-		n := r.node
-		n.mu.Lock()
-		n.unservedUntil[r.placement.Service] = n.now() + unservedTime
-		n.mu.Unlock()
+		if r.unservedRelays++; r.unservedRelays < unservedRelays {
+			return nil, relay.Answered
+		}
+		r.stopRelaying()
 	}
 	retryAfter := time.Duration(result.RetryAfterMS) * time.Millisecond
 	return r.giveUp(placement.Choice{Reason: placement.Reason(result.Reason), RetryAfter: retryAfter}), relay.Answered
 }
 
+// stopRelaying makes this VM relay no requests for the service for unservedTime.
+func (r *request) stopRelaying() {
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unservedUntil[r.placement.Service] = n.now() + unservedTime
+}
+
 // newRelayCall returns the call that sends the request to a relay.
 func (r *request) newRelayCall(vm *steering.VM) (*upstream.Call, error) {
 	host, _, err := net.SplitHostPort(vm.PeerAddress)
--- a/entry/gateway/relay_test.go
+++ b/entry/gateway/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiawind/cassiawind/core/placement"
 	"github.com/cassiawind/cassiawind/core/relay"
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/ingress"
@@ -32,6 +33,35 @@
 	cutDetectionBound = 3 * time.Second
 )
 
+// Guards against a VM without links that relays nothing for a time, because one relay has
+// no usable server while the others do.
+func TestOneRelayWithoutServersDoesNotEndRelaying(t *testing.T) {
+	served := 0
+	runFleet(t, slowly, fleetConfig(), []string{"vm-1", "vm-2", "vm-3", "vm-4"}, func(f *fleet) {
+		f.loseLinks("vm-1")
+		n := f.nodes["vm-2"]
+		n.mu.Lock()
+		for i := range fleetServers {
+			server := &steering.Server{ID: fmt.Sprintf("s%d", i), Service: "desk"}
+			n.picker.RequestFinished(n.now(), &placement.Request{Service: "desk"}, placement.Choice{Server: server}, placement.Misdirected, 0)
+		}
+		n.mu.Unlock()
+		var callers sync.WaitGroup
+		for range 40 {
+			callers.Go(func() {
+				if f.serve(context.Background(), "vm-1", "GET", "/look/x").Status == http.StatusOK {
+					f.mu.Lock()
+					served++
+					f.mu.Unlock()
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		callers.Wait()
+	})
+	require.Equal(t, 40, served)
+}
+
 // Guards against callers of a VM that has lost its links to the backend servers and gets
 // their requests rejected, although the other VMs reach the servers.
 func TestVMWithoutLinksToBackendServersServesItsCallers(t *testing.T) {
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -126,6 +126,8 @@
 	// the VM that this VM relayed the request to.
 	isRelayed bool
 	relayVM   string
+	// unservedRelays counts the relays that had no server for the request.
+	unservedRelays int
 	// answered is set if the response is that of a backend server; otherwise rejectedFor
 	// is why no server got the request.
 	answered    bool
