gateway: what a server says in a health check counts

A suspended server that rejects a health check with 503 and Retry-After was probed again after 0.5 s: TestPauseThatAHealthCheckBrings, 3 checks in 4 s where it wants none for 5 s. The notices of such responses now count, unless another server made them.

--- a/entry/gateway/notice_test.go
+++ b/entry/gateway/notice_test.go
@@ -190,3 +190,25 @@
 		})
 	}
 }
+
+// Guards against health checks that reach a server which has rejected one and wants none.
+func TestPauseThatAHealthCheckBrings(t *testing.T) {
+	var probes atomic.Int32
+	b := &standInBackends{handlers: map[string]func(*http.Request) string{
+		"s1": func(r *http.Request) string {
+			probes.Add(1)
+			return withHeader("Retry-After: 5", alwaysRespond(shed))(r)
+		}, "s2": respondWith(200, "ok"), "far": respondWith(200, "ok"),
+	}}
+	runInVirtualTime(t, b, testConfig(), func(n *Node, _ func(*ingress.Request) *ingress.Response) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go n.tickLoop(ctx)
+		n.mu.Lock()
+		s1 := &steering.Server{ID: "s1", Service: "desk"}
+		n.picker.RequestFinished(n.now(), &placement.Request{Service: "desk"}, placement.Choice{Server: s1}, placement.Unreachable, 0)
+		n.mu.Unlock()
+		time.Sleep(4 * time.Second)
+	})
+	require.EqualValues(t, 1, probes.Load())
+}
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -23,6 +23,11 @@
 		Host: server.Address, Header: http.Header{}, Idempotent: true, Deadline: time.Now().Add(probeTimeout),
 	})
 	n.metrics.Count(1, "probes")
+	if err == nil && (response.ServerHeaders.InstanceID == server.ID || response.ServerHeaders.InstanceID == "") {
+		n.mu.Lock()
+		n.recordNotice(n.now(), server, response)
+		n.mu.Unlock()
+	}
 	if err != nil || response.Status != http.StatusOK || response.ServerHeaders.InstanceID != server.ID {
 		n.logVerbose("probe failed", "server", server.ID, "service", server.Service)
 		return
