standin/soak: servers that leave or want no requests

Draining servers say Server-Leaving in all responses and come back as a later start; other servers reject with 503 and Retry-After of 2 s. Checked for each gateway that was not interrupted or cut: nothing that a caller sent later than 2 s after the gateway passed on that a server leaves runs there, and at most two requests reach a server in a pause, from 0.5 s on.

The two new fixed plans run beside each other.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -22,8 +22,10 @@
 type execution struct {
 	at                    time.Time
 	server, failureDomain string
-	account, path         string
-	hasKey                bool
+	// start identifies the start of the server.
+	start         string
+	account, path string
+	hasKey        bool
 }
 
 // executionLog records the requests that backend servers ran, by attempt id. The
@@ -54,6 +56,9 @@
 	// server is registered as ready, down while it has crashed.
 	sequence, born   atomic.Int64
 	registered, down atomic.Bool
+	// hasPaused is set once the server has asked for a pause, recorded in pauses.
+	hasPaused atomic.Bool
+	pauses    *pauseLog
 
 	mu        sync.Mutex
 	behaviour behaviour
@@ -64,7 +69,7 @@
 
 // newBackendServer starts a server that listens on address; gateways reach it
 // through a proxy at proxyAddress.
-func newBackendServer(id, service, failureDomain, address, proxyAddress string, store *platformstore.Store, executions *executionLog) (*backendServer, error) {
+func newBackendServer(id, service, failureDomain, address, proxyAddress string, store *platformstore.Store, executions *executionLog, pauses *pauseLog) (*backendServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -73,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backendServer{id: id, service: service, failureDomain: failureDomain, listener: listener, executions: executions, proxy: proxy, store: store, slots: make(chan struct{}, 16)}
+	b := &backendServer{id: id, service: service, failureDomain: failureDomain, listener: listener, executions: executions, proxy: proxy, store: store, pauses: pauses, slots: make(chan struct{}, 16)}
 	b.born.Store(1)
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
@@ -116,12 +121,21 @@
 	b.behaviour = v
 }
 
+// headerStart names the start of the server that made a response.
+const headerStart = "Soak-Start"
+
+func (b *backendServer) startName() string { return fmt.Sprint(b.id, "@", b.born.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	current, draining := b.behaviour, b.draining
+	current, draining, start := b.behaviour, b.draining, b.startName()
 	b.mu.Unlock()
 	w.Header().Set("X-Instance-Id", b.id)
+	w.Header().Set(headerStart, start)
+	if draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		if draining {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -134,6 +148,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if pausing := current == behaviour(ServerPauses); pausing || b.hasPaused.Load() {
+		b.hasPaused.Store(true)
+		b.pauses.add(b.id, id, pausing)
+		if pausing {
+			rejectWithPause(w)
+			return
+		}
+	}
 	select {
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
@@ -150,7 +172,7 @@
 		return
 	}
 	b.executions.add(id, execution{
-		at: time.Now(), server: b.id, failureDomain: b.failureDomain, account: r.Header.Get("X-Tenant"), path: r.RequestURI,
+		at: time.Now(), server: b.id, start: start, failureDomain: b.failureDomain, account: r.Header.Get("X-Tenant"), path: r.RequestURI,
 		hasKey: r.Header.Get("Authorization") != "",
 	})
 	if current == behaviour(ServerSlow) {
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -22,6 +22,8 @@
 	sent, finished         time.Time
 	status                 int
 	hasSeal, bodyMatches   bool
+	// leaving is the start of the server that has said in its response that it leaves.
+	leaving string
 	// connBroken is set if the request failed or its response was incomplete.
 	connBroken bool
 	// gateway is the address that the request was sent to.
@@ -152,6 +154,9 @@
 	_ = resp.Body.Close()
 	o.finished, o.status, o.connBroken = time.Now(), resp.StatusCode, err != nil
 	o.hasSeal = resp.Header.Get("X-Server-Seal") != ""
+	if resp.Header.Get("Server-Leaving") == "1" {
+		o.leaving = resp.Header.Get(headerStart)
+	}
 	o.bodyMatches = string(content) == o.id+" "+o.path+" "+body
 	c.outcomes.add(o)
 }
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -78,6 +78,8 @@
 	tb.checkRate(report)
 	tb.checkLimits(sent, report)
 	tb.checkCrashes(sent, report)
+	tb.checkPauses(sent, report)
+	tb.checkLeaving(report)
 	tb.checkGatewayCuts(report)
 	tb.checkRecovery(report)
 	return violations
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -44,6 +44,7 @@
 	LinkConnsBlackholed  Kind = "link to server forgets"
 	GatewayCut           Kind = "gateway cut from all servers"
 	CrashingRequests     Kind = "request that crashes servers"
+	ServerPauses         Kind = "server wants no requests"
 )
 
 // kinds are the faults of gateways, the store, backend servers and the operator.
@@ -103,6 +104,7 @@
 	plan = append(plan, vanishPlan(seed, faultPeriod, serverCount)...)
 	plan = append(plan, gatewayCutPlan(seed, faultPeriod, gatewayCount)...)
 	plan = append(plan, crashPlan(seed, faultPeriod)...)
+	plan = append(plan, pausePlan(seed, faultPeriod, serverCount)...)
 	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -96,6 +96,7 @@
 // again, while gateways are killed, all at once too, stopped and suspended, and while the
 // store is away.
 func TestRequestsThatCrashServers(t *testing.T) {
+	t.Parallel()
 	plan := []Event{
 		{Start: time.Second, Kind: CrashingRequests, Target: 0, Duration: 14 * time.Second},
 		{Start: 3 * time.Second, Kind: CrashingRequests, Target: 1, Duration: 12 * time.Second},
@@ -111,6 +112,25 @@
 	require.Empty(t, violations)
 }
 
+// Guards against gateways that go on sending to servers which leave or want no requests,
+// while the store is away and gateways are stopped and killed.
+func TestServersThatLeaveOrWantNoRequests(t *testing.T) {
+	t.Parallel()
+	plan := []Event{
+		{Start: time.Second, Kind: ServerPauses, Target: 0, Duration: 5 * time.Second},
+		{Start: 1500 * time.Millisecond, Kind: ServerPauses, Target: 4, Duration: 3 * time.Second},
+		{Start: 2 * time.Second, Kind: StoreUnavailable, Duration: 4 * time.Second},
+		{Start: 3 * time.Second, Kind: ServerDrains, Target: 1},
+		{Start: 4 * time.Second, Kind: PlannedStop, Target: 1},
+		{Start: 5 * time.Second, Kind: Kill, Target: 2},
+		{Start: 7 * time.Second, Kind: ServerPauses, Target: 2, Duration: 2 * time.Second},
+		{Start: 8 * time.Second, Kind: StoreRestored, Target: 4, Duration: time.Second},
+	}
+	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 6, Plan: plan})
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
 // Guards against plans that differ between runs of the same seed.
 func TestPlanIsDeterministic(t *testing.T) {
 	require.Equal(t, Plan(7, 20*time.Second, gatewayCount, serverCount), Plan(7, 20*time.Second, gatewayCount, serverCount))
@@ -121,7 +141,7 @@
 			drawn[e.Kind] = true
 		}
 	}
-	require.Len(t, drawn, len(kinds)+len(linkKinds)+5, "every kind of fault must be drawn")
+	require.Len(t, drawn, len(kinds)+len(linkKinds)+6, "every kind of fault must be drawn")
 }
 
 // checkViolations returns the violations that the checks find in synthetic records.
@@ -208,6 +228,12 @@
 	killed := appliedFault{kind: Kill, start: now.Add(-time.Second)}
 	require.Empty(t, checkViolations([]outcome{valid}, map[string][]execution{"a": arrivals}, limit, killed))
 	require.Contains(t, checkViolations(nil, nil)[0], "0 of 0 requests were served")
+	told := valid
+	told.leaving = "s@1"
+	later := outcome{id: "l", account: "free", path: "/x", sent: now.Add(drainBound + time.Second), status: 200, hasSeal: true, bodyMatches: true, gateway: "127.0.0.1:8206"}
+	ranLater := map[string][]execution{"a": {executed}, "l": {{at: later.sent, server: "s", start: "s@1", account: "free", path: "/x"}}}
+	require.Contains(t, checkViolations([]outcome{told, later}, ranLater)[0], "had passed on that the server leaves")
+	require.Empty(t, checkViolations([]outcome{told, later}, ranLater, appliedFault{kind: Kill, start: now, end: now}))
 	crash := valid
 	crash.path = "/look" + crashMarker + "1"
 	var crashed []execution
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -92,6 +92,7 @@
 	backends     []*backendServer
 	executions   *executionLog
 	outcomes     *outcomeLog
+	pauses       *pauseLog
 
 	mu       sync.Mutex
 	version  int
@@ -157,7 +158,7 @@
 
 func newTestbed(options Options) (*testbed, error) {
 	tb := &testbed{
-		options: options, store: platformstore.New(), executions: &executionLog{byID: make(map[string][]execution)}, outcomes: &outcomeLog{}, reserved: make(map[string]bool),
+		options: options, store: platformstore.New(), executions: &executionLog{byID: make(map[string][]execution)}, outcomes: &outcomeLog{}, pauses: &pauseLog{arrivals: make(map[string][]pauseArrival)}, reserved: make(map[string]bool),
 		accounts: map[string]*accountConfig{
 			"free": {Keys: []string{"free-1", "free-2"}}, limitedAccount: {Keys: []string{"limited-1"}, Rate: limitedRate, Burst: limitedBurst},
 		},
@@ -173,7 +174,7 @@
 		if i >= serverCount/2 {
 			service = "hall"
 		}
-		b, err := newBackendServer(fmt.Sprintf("i-%d", i), service, failureDomains[i%len(failureDomains)], tb.address(100+i, 8000), tb.address(150+i, 8000), tb.store, tb.executions)
+		b, err := newBackendServer(fmt.Sprintf("i-%d", i), service, failureDomains[i%len(failureDomains)], tb.address(100+i, 8000), tb.address(150+i, 8000), tb.store, tb.executions, tb.pauses)
 		if err != nil {
 			return nil, errors.Wrap(ErrStart, err.Error())
 		}
@@ -412,7 +413,7 @@
 func (tb *testbed) inject(e Event) {
 	fault := appliedFault{kind: e.Kind, target: e.Target}
 	switch e.Kind {
-	case ServerDrains, ServerVanishes, ServerSlow, ServerSheds, ServerFails, ServerAborts, ServerTruncates:
+	case ServerDrains, ServerVanishes, ServerPauses, ServerSlow, ServerSheds, ServerFails, ServerAborts, ServerTruncates:
 		fault.server = tb.backends[e.Target].id
 	case Evacuate:
 		fault.failureDomain = failureDomains[e.Target%len(failureDomains)]
@@ -542,7 +543,9 @@
 		time.Sleep(time.Second)
 		b.unregister()
 		time.Sleep(drainDuration)
+		// A server does not take back that it leaves: this is its next start.
 		b.mu.Lock()
+		b.born.Add(1)
 		b.draining = false
 		b.mu.Unlock()
 		if err := b.register("ready"); err != nil {
