poison: a trial that reaches no server is given back

A trial was used up by a request whose deadline passed during the claim, or for which there was no server: three of them, and a request that was quarantined by mistake stays so for six hours. A request needs 0.3 s until its deadline for a trial, and one that was not sent returns it (TestTrialThatWasNotSentIsReturned).

On the way: each message between VMs walked all suspects, 1,024 at most; now only if they have changed.

--- a/core/poison/book.go
+++ b/core/poison/book.go
@@ -61,6 +61,8 @@
 	trials  int
 	trialAt time.Duration
 	trialVM string
+	// returned counts the trials that were claimed and not sent to a server.
+	returned int
 	// releases counts the quarantines that ended because a server completed the request.
 	releases int
 	// changedAt is when the entry last changed.
@@ -101,7 +103,7 @@
 
 // trialIndex returns the index in trialDelays of the next trial.
 func (e *entry) trialIndex() int {
-	return e.releases + max(e.crashesInRow()-e.threshold(), e.trials)
+	return e.releases + max(e.crashesInRow()-e.threshold(), e.trials-e.returned)
 }
 
 // expiresAt returns when the entry is forgotten.
@@ -148,7 +150,7 @@
 	e.survived, e.survivedAt = true, at
 	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.At <= at })
 	if e.trialAt <= at {
-		e.trials = 0
+		e.trials, e.returned = 0, 0
 	}
 	return true
 }
@@ -177,6 +179,8 @@
 	// reported holds the entries for this VM's reports, with the time of their last change:
 	// its own, and on a VM that collects reports those of the others.
 	reported map[Fingerprint]time.Duration
+	// changes counts the changes of entries.
+	changes uint64
 	// nextKnown and nextReported are where the next message begins.
 	nextKnown, nextReported Fingerprint
 }
@@ -189,6 +193,9 @@
 // Len returns the number of known requests.
 func (b *Book) Len() int { return len(b.entries) }
 
+// Changes returns a number that grows when what is known changes.
+func (b *Book) Changes() uint64 { return b.changes }
+
 // Empty reports whether no request is known.
 func (b *Book) Empty() bool { return len(b.entries) == 0 }
 
@@ -231,6 +238,16 @@
 	}
 }
 
+// ReturnTrial records that the request of a claimed trial was not sent to a server.
+func (b *Book) ReturnTrial(now time.Duration, request Fingerprints, vm string) {
+	for _, f := range request {
+		if e := b.entries[f]; e != nil && e.trialVM == vm && e.returned < e.trials {
+			e.returned++
+			b.changed(now, f)
+		}
+	}
+}
+
 // HoldsTrial reports whether the newest trial of a request is that of a VM. Of two VMs that
 // claim one trial, the one whose name comes first has it.
 func (b *Book) HoldsTrial(request Fingerprints, vm string) bool {
@@ -314,7 +331,9 @@
 
 // Expire removes what is no longer of use.
 func (b *Book) Expire(now time.Duration) {
+	before := len(b.entries)
 	maps.DeleteFunc(b.entries, func(_ Fingerprint, e *entry) bool { return now >= e.expiresAt() })
+	b.changes += uint64(before - len(b.entries))
 	maps.DeleteFunc(b.reported, func(f Fingerprint, at time.Duration) bool { return b.entries[f] == nil || now-at > reportTime })
 }
 
@@ -329,6 +348,7 @@
 	if len(b.entries) >= maxEntries {
 		delete(b.entries, b.leastUseful())
 	}
+	b.changes++
 	e := &entry{changedAt: now}
 	b.entries[f] = e
 	return e
@@ -358,5 +378,6 @@
 // changed records that this VM changed an entry.
 func (b *Book) changed(now time.Duration, f Fingerprint) {
 	b.entries[f].changedAt = now
+	b.changes++
 	b.reported[f] = now
 }
--- a/core/poison/book_test.go
+++ b/core/poison/book_test.go
@@ -315,3 +315,19 @@
 	a.Merge(now+time.Second, b.Shares(now+time.Second, culprit)...)
 	require.False(t, a.HoldsTrial(culprit, "vm-1"), "a later trial")
 }
+
+// Guards against trials that are used up by requests that no server got.
+func TestTrialThatWasNotSentIsReturned(t *testing.T) {
+	b, now := quarantinedBook(), 3*time.Second
+	for range 5 {
+		require.True(t, b.Check(now, culprit, sameVersion).Trial)
+		b.ClaimTrial(now, culprit, "vm")
+		b.ReturnTrial(now, culprit, "other")
+		b.ReturnTrial(now, culprit, "vm")
+		now += 3 * time.Second
+	}
+	other := New()
+	other.Merge(now, b.Shares(now, culprit)...)
+	require.True(t, other.Check(now, culprit, sameVersion).Trial)
+	require.False(t, b.Check(now+time.Millisecond, culprit, sameVersion).Quarantined)
+}
--- a/core/poison/shared.go
+++ b/core/poison/shared.go
@@ -45,6 +45,7 @@
 	// SurvivedMS is set if a server completed the request.
 	SurvivedMS *int64 `json:"ok,omitempty"`
 	Trials     int    `json:"t,omitempty"`
+	Returned   int    `json:"tr,omitempty"`
 	TrialMS    int64  `json:"ta,omitempty"`
 	// TrialVM claimed the newest trial.
 	TrialVM  string `json:"tv,omitempty"`
@@ -93,7 +94,7 @@
 		s.SurvivedMS = &ms
 	}
 	if e.trials > 0 {
-		s.Trials, s.TrialMS, s.TrialVM = e.trials, age(now, e.trialAt), e.trialVM
+		s.Trials, s.Returned, s.TrialMS, s.TrialVM = e.trials, e.returned, age(now, e.trialAt), e.trialVM
 	}
 	return s, true
 }
@@ -120,7 +121,7 @@
 
 // isValid reports whether the message of another VM can be used.
 func (s Shared) isValid() bool {
-	if len(s.Crashes) > maxCrashes || s.Trials < 0 || s.Releases < 0 || !isAge(s.TrialMS) || s.SurvivedMS != nil && !isAge(*s.SurvivedMS) {
+	if len(s.Crashes) > maxCrashes || s.Trials < 0 || s.Returned < 0 || s.Releases < 0 || !isAge(s.TrialMS) || s.SurvivedMS != nil && !isAge(*s.SurvivedMS) {
 		return false
 	}
 	return !slices.ContainsFunc(s.Crashes, func(c SharedCrash) bool { return c.Server == "" || !isAge(c.AgeMS) || !isAge(c.SentMS) })
@@ -162,6 +163,9 @@
 		if s.Trials > e.trials || s.Trials == e.trials && s.TrialVM < e.trialVM {
 			e.trials, e.trialVM, changed = s.Trials, s.TrialVM, true
 		}
+		if s.Returned > e.returned {
+			e.returned, changed = s.Returned, true
+		}
 		if e.trialAt == 0 || at > e.trialAt+clockTolerance {
 			e.trialAt, changed = at, true
 		}
@@ -169,6 +173,7 @@
 	e.releases = max(e.releases, s.Releases)
 	if changed {
 		e.changedAt = now
+		b.changes++
 	}
 	return changed
 }
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -151,10 +151,11 @@
 	// relays selects among relaysByRegion.
 	relays         *relay.Selector
 	relaysByRegion map[string][]relay.Candidate
-	// suspectsKnown is set while any request is known that may crash servers, and
-	// quarantined has the crashes in a row of those that are logged as quarantined.
-	suspectsKnown atomic.Bool
-	quarantined   map[poison.Fingerprint]int
+	// suspectsKnown is set while any request is known that may crash servers. Both it and
+	// quarantined are those of suspectChanges; quarantined has the crashes in a row of those that are logged as quarantined.
+	suspectsKnown  atomic.Bool
+	suspectChanges uint64
+	quarantined    map[poison.Fingerprint]int
 	// storedQuarantine has the states of the rows of quarantined requests that this VM has
 	// read from the store, or written there in quarantineEra.
 	quarantineRows    quarantineRows
--- a/entry/gateway/poison.go
+++ b/entry/gateway/poison.go
@@ -26,6 +26,8 @@
 	// trialClaimTime is how long a VM waits between claiming a trial and sending the
 	// request. It is above the time that a message to another VM takes.
 	trialClaimTime = 150 * time.Millisecond
+	// minTrialTime is the time left until its deadline that a request needs for a trial.
+	minTrialTime = 2 * trialClaimTime
 	// announceTime is the time over which a message to all VMs is spread.
 	announceTime = 50 * time.Millisecond
 	// announceInterval is the shortest time between two announcements of crashes by one VM,
@@ -85,6 +87,9 @@
 	if !verdict.Trial {
 		return 0, true
 	}
+	if time.Until(r.deadline) < minTrialTime {
+		return poison.TrialTimeout, false
+	}
 	n := r.node
 	n.mu.Lock()
 	now := n.now()
@@ -107,6 +112,16 @@
 	return 0, true
 }
 
+// returnTrial gives back a trial whose request was not sent to a server.
+func (r *request) returnTrial() {
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	n.peers.Suspects().ReturnTrial(now, r.fingerprints(), n.settings.VM)
+	n.announceSuspects(n.peers.OtherVMs(), n.peers.Suspects().Shares(now, r.fingerprints()))
+}
+
 // hasOtherVersion reports whether the request may be served by software of another version
 // than the given ones.
 func (r *request) hasOtherVersion(versions []string) bool {
@@ -285,6 +300,10 @@
 // holds mu.
 func (n *Node) applySuspects(now time.Duration) {
 	suspects := n.peers.Suspects()
+	if n.suspectChanges == suspects.Changes() {
+		return
+	}
+	n.suspectChanges = suspects.Changes()
 	n.suspectsKnown.Store(!suspects.Empty())
 	if suspects.Empty() && len(n.quarantined) == 0 {
 		return
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -272,6 +272,11 @@
 // forward sends the request to one backend server after another until it has a
 // response for the caller.
 func (r *request) forward(ctx context.Context) *ingress.Response {
+	defer func() {
+		if r.trial && r.attempts == 0 {
+			r.returnTrial()
+		}
+	}()
 	if retryAfter, ok := r.claimTrial(ctx); !ok {
 		return r.giveUp(placement.Choice{Reason: placement.Quarantined, RetryAfter: retryAfter})
 	}
