gateway: lookups in progress at crashes, as a test; crashed servers come back in tests

The stand-in answered health checks without the server's id, so that a crashed server stayed suspended for the rest of a test.

--- a/core/poison/book_test.go
+++ b/core/poison/book_test.go
@@ -331,3 +331,45 @@
 	require.True(t, other.Check(now, culprit, sameVersion).Trial)
 	require.False(t, b.Check(now+time.Millisecond, culprit, sameVersion).Quarantined)
 }
+
+// BenchmarkFingerprints measures what each request costs while requests are suspect.
+func BenchmarkFingerprints(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 64 << 10} {
+		b.Run(fmt.Sprint(size, " byte body"), func(b *testing.B) {
+			c := Content{Method: "POST", Host: "shop.example", Target: "/look/0123456789?n=1", Route: "look", Account: "account", Body: make([]byte, size)}
+			for b.Loop() {
+				c.Fingerprints()
+			}
+		})
+	}
+}
+
+// BenchmarkCheck measures the decision on a request that is not suspect, with all entries
+// in use.
+func BenchmarkCheck(b *testing.B) {
+	book := quarantinedBook()
+	for i := range maxEntries {
+		book.Crashed(0, Content{Target: fmt.Sprint(i), Account: fmt.Sprint(i)}.Fingerprints(), crash("s3", 0, 0))
+	}
+	request := Content{Target: "/other"}.Fingerprints()
+	for b.Loop() {
+		book.Check(time.Second, request, sameVersion)
+	}
+}
+
+// Guards against memory and messages above what a node may spend.
+func TestSizeOfEntriesAndMessages(t *testing.T) {
+	b := New()
+	for i := range maxEntries {
+		at := time.Duration(i) * ms
+		b.Crashed(at, Content{Target: fmt.Sprint(i), Account: fmt.Sprint(i)}.Fingerprints(), crash(fmt.Sprintf("i-%010d@abcdefgh", i), at-ms, at))
+	}
+	require.LessOrEqual(t, len(b.entries), maxEntries)
+	raw, err := json.Marshal(b.Known(time.Second))
+	require.NoError(t, err)
+	require.Less(t, len(raw), 2500, "bytes of suspects in a message")
+	one, err := json.Marshal(quarantinedBook().Shares(time.Second, culprit)[:1])
+	require.NoError(t, err)
+	require.Less(t, len(one), 200, "bytes of a quarantined request")
+	t.Log(len(raw), len(one))
+}
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -50,6 +50,9 @@
 // respond is the handler of the server that the request names.
 func (c *crashingServers) respond(r *http.Request) string {
 	server := r.Header.Get("X-Expect-Instance")
+	if r.URL.Path == "/health" {
+		server = r.Host
+	}
 	if !strings.Contains(r.RequestURI, "poison") || c.isMended() {
 		if r.URL.Path != "/health" {
 			time.Sleep(crashAfter)
@@ -470,3 +473,22 @@
 		require.Equal(t, 3, s.total())
 	})
 }
+
+// Guards against lookups that were in progress at a crash and fail at the next one, because
+// they are sent to the same server again as the request that caused it.
+func TestLookupsThatWereInProgressAtACrashAreServed(t *testing.T) {
+	const lookups, maxFailed = 15000, 15
+	var statuses map[int]int
+	runCrashes(t, 4, nil, func(f *fleet, _ *crashingServers) {
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			// Twenty requests that crash servers, one after the other.
+			f.sendEvery(500*time.Millisecond, time.Minute, func(i int) *ingress.Request { return newRequest("GET", fmt.Sprint(poisonTarget, i/6)) })
+		})
+		callers.Go(func() {
+			statuses = f.sendEvery(time.Minute/lookups, time.Minute, func(i int) *ingress.Request { return newRequest("GET", fmt.Sprint("/look/", i%4001)) })
+		})
+		callers.Wait()
+	})
+	require.GreaterOrEqual(t, statuses[http.StatusOK], lookups-maxFailed, "%v", statuses)
+}
