placement: servers that answer are used while their registration is missing

A restored store lacks what was written last, and after an outage of the store registrations have lapsed. Every server without its registration got nothing until a probe had succeeded, all of them at once: callers got 503 'no usable server' for up to 0.25 s and a round trip.

A server that completed a request within the last second is now used for one second more; the probe is sent at once, and without its success the server waits as before. Both times are below the shortest drain, 2 s, after which a server that leaves must get nothing.

--- a/core/placement/outcome.go
+++ b/core/placement/outcome.go
@@ -58,6 +58,7 @@
 	s.decayPenalties(now)
 	switch result {
 	case Succeeded:
+		s.answered, s.answeredAt = true, now
 		s.consecutiveFailures = 0
 		s.suspensionTime = 0
 		s.unreachable, s.misdirected = false, false
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -146,7 +146,10 @@
 			}
 			// If this VM was partitioned, an expired server may have stopped long ago.
 			if r.Expired && !s.registration.Expired {
-				s.needsProbe, s.suspendedUntil = true, now
+				s.registrationLost(now)
+			}
+			if !r.Expired {
+				s.verifyUntil = 0
 			}
 			s.registration = r
 			s.coldUntil = max(s.coldUntil, r.ColdUntil)
@@ -298,8 +301,11 @@
 func (p *Picker) DueProbes(now time.Duration) []*steering.Server {
 	var due []*steering.Server
 	for _, s := range p.servers {
-		if s.needsProbe && now >= s.suspendedUntil && !s.leaving && !s.isPaused(now) {
-			due = append(due, s.registration)
+		if s.leaving || s.isPaused(now) || !s.isProbeDue(now) {
+			continue
+		}
+		due = append(due, s.registration)
+		if s.needsProbe {
 			s.suspensionTime = min(max(2*s.suspensionTime, minSuspension), maxSuspension)
 			s.suspendedUntil = now + s.suspensionTime
 		}
@@ -311,9 +317,10 @@
 // server remains cold.
 func (p *Picker) ProbeSucceeded(now time.Duration, id string, cold time.Duration) {
 	s := p.servers[id]
-	if s == nil || !s.needsProbe {
+	if s == nil || !s.needsProbe && s.verifyUntil == 0 {
 		return
 	}
+	s.verifyUntil = 0
 	s.needsProbe, s.unreachable, s.misdirected, s.suspendedUntil = false, false, false, now
 	s.coldUntil = max(s.coldUntil, now+cold)
 	if g := p.groups[s.registration.Service]; g != nil && s.isCold(now) {
--- a/core/placement/picker_test.go
+++ b/core/placement/picker_test.go
@@ -585,3 +585,33 @@
 	require.False(t, suspended("north-2"))
 	require.True(t, suspended("north-3"), "another server has its address")
 }
+
+// Guards against requests that are rejected because all servers wait for a probe, although
+// they answer, when a restored store or one that was away has lost their registrations.
+func TestServerThatAnswersIsUsedWithoutItsRegistration(t *testing.T) {
+	list := testServers("north", 1, 4)
+	lose := func(answeredAt time.Duration) *Picker {
+		p := newTestPicker(list)
+		p.RequestFinished(answeredAt, testRequest(0), Choice{Server: list[0]}, Succeeded, 0)
+		expired := *list[0]
+		expired.Expired = true
+		p.Update(2*time.Second, testServices, map[string][]*steering.Server{"desk": {&expired}})
+		return p
+	}
+	require.Nil(t, lose(500*time.Millisecond).Pick(2*time.Second, testRequest(0)).Server, "an older answer")
+
+	p := lose(1900 * time.Millisecond)
+	require.NotNil(t, p.Pick(2*time.Second, testRequest(0)).Server)
+	require.Len(t, p.DueProbes(2*time.Second), 1)
+	require.Empty(t, p.DueProbes(2250*time.Millisecond), "one probe at a time")
+	require.Len(t, p.DueProbes(3*time.Second), 1, "the probe did not succeed")
+	require.Nil(t, p.Pick(3*time.Second, testRequest(0)).Server)
+	p.ProbeSucceeded(3100*time.Millisecond, "north-0", 0)
+	require.NotNil(t, p.Pick(3100*time.Millisecond, testRequest(0)).Server)
+
+	p = lose(1900 * time.Millisecond)
+	p.DueProbes(2 * time.Second)
+	p.ProbeSucceeded(2010*time.Millisecond, "north-0", 0)
+	require.Empty(t, p.DueProbes(4*time.Second), "it has shown that it is alive")
+	require.NotNil(t, p.Pick(4*time.Second, testRequest(0)).Server)
+}
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -29,6 +29,11 @@
 	// reached. Each further suspension doubles the time, up to maxSuspension.
 	minSuspension = 500 * time.Millisecond
 	maxSuspension = 4 * time.Second
+	// recentAnswerTime is how long an answer shows that a server is alive, and verifyTime how
+	// long it is used without its registration until a probe has shown it again. Both are
+	// well below the time after which a leaving server must get nothing.
+	recentAnswerTime = time.Second
+	verifyTime       = time.Second
 	// maxConsecutiveFailures is the number of failures in a row after which a
 	// server is suspended.
 	maxConsecutiveFailures = 4
@@ -60,6 +65,14 @@
 	// suspendedUntil is the time from which on the server may be probed.
 	suspendedUntil time.Duration
 	suspensionTime time.Duration
+	// answeredAt is when the server last completed a request of this VM.
+	answered   bool
+	answeredAt time.Duration
+	// verifyUntil is set for a server that lost its registration shortly after it had
+	// answered: it is used until then, unless a probe, which verifying says was sent,
+	// succeeds before; 0 if not.
+	verifyUntil time.Duration
+	verifying   bool
 	// needsProbe is set while the server gets no requests until a probe succeeds.
 	needsProbe bool
 	// unreachable is set if the server was suspended, at suspendedAt, because it did not
@@ -127,6 +140,29 @@
 	s.needsProbe = true
 }
 
+// registrationLost makes a server that lost its registration wait for a probe, at once or
+// after verifyTime.
+func (s *server) registrationLost(now time.Duration) {
+	if s.answered && now-s.answeredAt < recentAnswerTime && !s.needsProbe {
+		s.verifyUntil, s.verifying = now+verifyTime, false
+		return
+	}
+	s.needsProbe, s.suspendedUntil = true, now
+}
+
+// isProbeDue reports whether the server is to be probed now.
+func (s *server) isProbeDue(now time.Duration) bool {
+	if s.verifyUntil > 0 && now >= s.verifyUntil {
+		s.verifyUntil = 0
+		s.needsProbe, s.suspendedUntil = true, now
+	}
+	if s.verifyUntil > 0 && !s.verifying {
+		s.verifying = true
+		return true
+	}
+	return s.needsProbe && now >= s.suspendedUntil
+}
+
 func (s *server) isWarm(now time.Duration, object uint64) bool {
 	at, ok := s.lastUsed[object]
 	return ok && now-at < warmObjectTTL
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -32,6 +32,10 @@
 	cutNoticeBound    = 4 * time.Second
 	minCutServedShare = 2.0 / 3
 	minCutRequests    = 20
+	// In restorationTime after a restoration of the store, with no other fault around, at
+	// most maxUnservedShare of the requests may be rejected or fail.
+	restorationTime  = 10 * time.Second
+	maxUnservedShare = 0.01
 	// minServedShare is the share of requests that must be served after the
 	// faults.
 	minServedShare = 0.9
@@ -81,6 +85,7 @@
 	tb.checkPauses(sent, report)
 	tb.checkLeaving(report)
 	tb.checkGatewayCuts(report)
+	tb.checkRestorations(report)
 	tb.checkRecovery(report)
 	return violations
 }
@@ -291,6 +296,44 @@
 	return false
 }
 
+// checkRestorations checks that callers are served while the store is restored from a copy
+// and its writers repeat their writes.
+func (tb *testbed) checkRestorations(report func(string, ...any)) {
+	for i, f := range tb.faults {
+		if f.kind != StoreRestored || tb.otherFaultWithin(i, f.start.Add(-restorationTime), f.start.Add(restorationTime)) {
+			continue
+		}
+		sent, served := 0, 0
+		for _, o := range tb.outcomes.list {
+			if o.account == limitedAccount || o.sent.Before(f.start) || o.sent.After(f.start.Add(restorationTime)) {
+				continue
+			}
+			sent++
+			if o.status == http.StatusOK {
+				served++
+			}
+		}
+	tb.restorations = append(tb.restorations, restorationResult{sent, served})
+		if float64(sent-served) > maxUnservedShare*float64(sent) {
+			report("around a restoration of the store, %d of %d requests were served", served, sent)
+		}
+	}
+}
+
+// restorationResult is the number of requests around a restoration of the store.
+type restorationResult struct{ sent, served int }
+
+// otherFaultWithin reports whether a fault other than fault i was in progress between two
+// times.
+func (tb *testbed) otherFaultWithin(i int, from, to time.Time) bool {
+	for j, f := range tb.faults {
+		if j != i && f.start.Before(to) && (f.end.IsZero() || f.end.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRecovery checks that requests are served again after the faults.
 func (tb *testbed) checkRecovery(report func(string, ...any)) {
 	var lastFinished time.Time
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -51,6 +51,16 @@
 	require.Empty(t, violations)
 }
 
+// Guards against gateways that reject their callers while a restored store lacks the
+// configuration and the servers that were written last.
+func TestCallersAreServedAroundARestoration(t *testing.T) {
+	t.Parallel()
+	plan := []Event{{Start: 6 * time.Second, Kind: StoreRestored, Target: int(maxCopyAge / time.Second), Duration: 1500 * time.Millisecond}}
+	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 7, Plan: plan})
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
 // Guards against servers that get more requests from all gateways together than the limit
 // that they name, while gateways are stopped and started again, killed, suspended and lose
 // the store.
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -93,6 +93,7 @@
 	executions   *executionLog
 	outcomes     *outcomeLog
 	pauses       *pauseLog
+	restorations []restorationResult
 
 	mu       sync.Mutex
 	version  int
@@ -163,6 +164,8 @@
 			"free": {Keys: []string{"free-1", "free-2"}}, limitedAccount: {Keys: []string{"limited-1"}, Rate: limitedRate, Burst: limitedBurst},
 		},
 	}
+	// The oldest copy lacks all that is written from here on.
+	tb.copies = append(tb.copies, tb.store.Copy())
 	listener, err := net.Listen("tcp", tb.address(200, 9000))
 	if err != nil {
 		return nil, errors.Wrap(ErrStart, err.Error())
