--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -313,7 +313,7 @@
 				served++
 			}
 		}
-	tb.restorations = append(tb.restorations, restorationResult{sent, served})
+		tb.restorations = append(tb.restorations, restorationResult{sent, served})
 		if float64(sent-served) > maxUnservedShare*float64(sent) {
 			report("around a restoration of the store, %d of %d requests were served", served, sent)
 		}
