--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -20,13 +20,18 @@
 	count := flag.Int("count", 1, "number of seeds")
 	length := flag.Duration("length", 15*time.Second, "time in which faults begin")
 	folder := flag.String("folder", "out/soak", "folder for settings and logs")
+	restoration := flag.Bool("restoration", false, "restore the store from an older copy, and inject no other fault")
 	flag.Parse()
+	var plan []soak.Event
+	if *restoration {
+		plan = soak.RestorationPlan()
+	}
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 30)
 	}
 	failed := 0
 	for i := range *count {
-		if !runSeed(*binary, *folder, *seed+uint64(i), *length) {
+		if !runSeed(*binary, *folder, *seed+uint64(i), *length, plan) {
 			failed++
 		}
 	}
@@ -36,15 +41,15 @@
 	}
 }
 
-// runSeed runs one seed and reports whether it passed. If there are violations, it
-// prints them, the plan and the folder of the logs.
-func runSeed(binary, folder string, seed uint64, faultPeriod time.Duration) bool {
+// runSeed runs one seed, with its own plan unless there is another one, and reports whether
+// it passed. If there are violations, it prints them, the plan and the folder of the logs.
+func runSeed(binary, folder string, seed uint64, faultPeriod time.Duration, plan []soak.Event) bool {
 	seedFolder := filepath.Join(folder, fmt.Sprint(seed))
 	if err := os.MkdirAll(seedFolder, 0o755); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	violations, err := soak.Run(context.Background(), soak.Options{Binary: binary, Folder: seedFolder, Seed: seed, FaultPeriod: faultPeriod})
+	violations, err := soak.Run(context.Background(), soak.Options{Binary: binary, Folder: seedFolder, Seed: seed, FaultPeriod: faultPeriod, Plan: plan})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
@@ -57,7 +62,10 @@
 	for _, violation := range violations {
 		fmt.Println("  " + violation)
 	}
-	for _, e := range soak.Describe(seed, faultPeriod) {
+	if plan == nil {
+		plan = soak.SeedPlan(seed, faultPeriod)
+	}
+	for _, e := range plan {
 		fmt.Println("  plan:", e)
 	}
 	return false
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -137,6 +137,12 @@
 	return plan
 }
 
+// RestorationPlan returns one restoration of the store, from a copy that lacks all that the
+// operator and the backend servers have written. They write it again within Duration.
+func RestorationPlan() []Event {
+	return []Event{{Start: 6 * time.Second, Kind: StoreRestored, Target: int(maxCopyAge / time.Second), Duration: 1500 * time.Millisecond}}
+}
+
 // limitPlan returns the times at which servers name limits. They last longer than the
 // time after which a limit is checked.
 func limitPlan(seed uint64, faultPeriod time.Duration, serverCount int) []Event {
@@ -174,11 +180,7 @@
 	return plan
 }
 
-// Describe returns the plan of a seed, one line a fault.
-func Describe(seed uint64, faultPeriod time.Duration) []string {
-	var lines []string
-	for _, e := range Plan(seed, faultPeriod, gatewayCount, serverCount) {
-		lines = append(lines, e.String())
-	}
-	return lines
+// SeedPlan returns the faults of a seed for a testbed.
+func SeedPlan(seed uint64, faultPeriod time.Duration) []Event {
+	return Plan(seed, faultPeriod, gatewayCount, serverCount)
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -55,8 +55,7 @@
 // configuration and the servers that were written last.
 func TestCallersAreServedAroundARestoration(t *testing.T) {
 	t.Parallel()
-	plan := []Event{{Start: 6 * time.Second, Kind: StoreRestored, Target: int(maxCopyAge / time.Second), Duration: 1500 * time.Millisecond}}
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 7, Plan: plan})
+	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 7, Plan: RestorationPlan()})
 	require.NoError(t, err)
 	require.Empty(t, violations)
 }
