gateway: a hub that does not reach the store reads from the other one

A hub read the store only. One that is cut off from it kept its state until the cut ended, whatever the other hub and all other VMs knew: withdrawn keys, drained servers and a new era. It now reads from the other hub while its own polls of the operator's table fail.

--- a/core/placement/notice.go
+++ b/core/placement/notice.go
@@ -41,6 +41,12 @@
 	return isNew
 }
 
+// IsLeaving reports whether a server has said that it leaves.
+func (p *Picker) IsLeaving(s *steering.Server) bool {
+	n := p.notices[keyOf(s)]
+	return n != nil && n.leaving
+}
+
 // ServerPauses records that a server has rejected a request and wants none for a time.
 func (p *Picker) ServerPauses(now time.Duration, s *steering.Server, pause time.Duration) {
 	n := p.noticeOf(now, s)
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -163,6 +163,8 @@
 	quarantineEra     uint64
 	quarantineLoaded  bool
 	storingQuarantine bool
+	// storeQuarantineAt is when the rows may be written again after a failed write.
+	storeQuarantineAt time.Duration
 	// lostConns are the servers whose connections ended lately with requests in progress.
 	// suspectsInProgress counts the suspect requests that this VM has sent to each server.
 	lostConns          map[string]*lostServer
--- a/entry/gateway/poison.go
+++ b/entry/gateway/poison.go
@@ -231,7 +231,7 @@
 	requests := lost.requests
 	lost.requests = nil
 	current := n.serverInUse(lost.server)
-	if len(requests) == 0 || n.links.Lost() || current == nil || current.Draining || current.Expired {
+	if len(requests) == 0 || n.links.Lost() || current == nil || current.Draining || current.Expired || n.picker.IsLeaving(lost.server) {
 		return
 	}
 	identity := lost.server.ID
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -350,6 +350,13 @@
 			n.mu.Unlock()
 			s.crash(server, "")
 		}, false},
+		"server that has said that it leaves": {func(f *fleet, s *crashingServers, server string) {
+			n := f.nodes["vm-1"]
+			n.mu.Lock()
+			n.picker.ServerLeaves(n.now(), &steering.Server{ID: server, Service: "desk"})
+			n.mu.Unlock()
+			s.crash(server, "")
+		}, false},
 		"lost links, connections reset": {func(f *fleet, _ *crashingServers, _ string) { f.setLinks("vm-1", linksReset) }, false},
 		"lost links, connections abort": {func(f *fleet, _ *crashingServers, _ string) { f.setLinks("vm-1", linksAbort) }, false},
 	} {
@@ -433,6 +440,8 @@
 		q.failing = true
 		f.serve(context.Background(), "vm-1", "GET", poisonTarget)
 		require.Zero(t, set(func() {}))
+		require.LessOrEqual(t, q.writes, 4, "writes of two hubs in a second of the outage")
+		time.Sleep(maxBackoff)
 		require.Equal(t, 1, set(func() { q.failing = false }), "after an outage")
 		require.Equal(t, 1, set(func() { q.era, q.rows = 1, nil }), "after a restoration from a copy")
 		s.mu.Lock()
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -86,7 +86,7 @@
 // storeQuarantine makes a hub write what changed in the set of quarantined requests. The
 // caller holds mu.
 func (n *Node) storeQuarantine(ctx context.Context, now time.Duration) {
-	if !n.quarantineLoaded || n.storingQuarantine || !n.peers.IsHub(now) {
+	if !n.quarantineLoaded || n.storingQuarantine || now < n.storeQuarantineAt || !n.peers.IsHub(now) {
 		return
 	}
 	if era := n.quarantineRows.Era(); era != n.quarantineEra {
@@ -107,6 +107,7 @@
 		defer n.mu.Unlock()
 		n.storingQuarantine = false
 		if err != nil {
+			n.storeQuarantineAt = n.now() + maxBackoff
 			n.metrics.Count(1, "store_calls", adapter.TableQuarantine, "failed")
 			if ok, omitted := n.logLimiter.Allow(n.now(), "quarantine store"); ok {
 				n.log.Info("quarantined requests not written", "error", err.Error(), "omitted", omitted)
--- a/entry/gateway/replica.go
+++ b/entry/gateway/replica.go
@@ -211,7 +211,8 @@
 	}}
 }
 
-// hubReadLoop reads from a hub the changes that its heartbeats announce.
+// hubReadLoop reads from a hub the changes that its heartbeats announce. A hub that does not
+// reach the store reads from the other one.
 func (n *Node) hubReadLoop(ctx context.Context) {
 	for {
 		select {
@@ -225,7 +226,7 @@
 		isHub := n.peers.IsHub(now)
 		hubVM := n.view.Load().VMs[upstreamHub.Hub]
 		n.mu.Unlock()
-		if !ok || isHub || hubVM == nil || !n.isBehind(upstreamHub.Versions) {
+		if !ok || isHub && !n.operatorUnavailable.Load() || hubVM == nil || !n.isBehind(upstreamHub.Versions) {
 			continue
 		}
 		if err := n.readFromHub(ctx, hubVM.PeerAddress); err != nil {
--- a/entry/gateway/restoration_test.go
+++ b/entry/gateway/restoration_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -31,6 +32,31 @@
 	mu          sync.Mutex
 	era, calls  int
 	unavailable bool
+	// cut is set for VMs that do not reach the store.
+	cut map[string]bool
+}
+
+// vmStore is the store as one VM reaches it.
+type vmStore struct {
+	*restoredStore
+	vm string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s vmStore) RoundTrip(r *http.Request) (*http.Response, error) {
+	for {
+		s.mu.Lock()
+		cut := s.cut[s.vm]
+		s.mu.Unlock()
+		if !cut {
+			return s.restoredStore.RoundTrip(r)
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -81,7 +107,14 @@
 	time.Sleep(2 * messageDelay)
 	recorder := httptest.NewRecorder()
 	p[r.URL.Host].serveChanges(recorder, r)
-	return recorder.Result(), nil
+	response := recorder.Result()
+	// As http.Transport does.
+	decoded, err := gzip.NewReader(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = io.NopCloser(decoded)
+	return response, nil
 }
 
 // storeFleet is a fleet of nodes that follow a store, in virtual time.
@@ -94,7 +127,7 @@
 func runStoreFleet(t *testing.T, vms int, test func(f *storeFleet)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		f := &storeFleet{store: &restoredStore{}, nodes: make(peerTransport)}
+		f := &storeFleet{store: &restoredStore{cut: make(map[string]bool)}, nodes: make(peerTransport)}
 		type row struct {
 			Key   string `json:"key"`
 			Value string `json:"value"`
@@ -107,7 +140,7 @@
 			name, region := fmt.Sprintf("vm-%04d", i), fmt.Sprint("region-", i%3)
 			settings := testSettings()
 			settings.VM, settings.IP, settings.PeerPort, settings.Region = name, fmt.Sprintf("127.1.%d.%d", i/250, i%250), 7600, region
-			n := newNode(settings, logr.Discard(), &standInBackends{}, f.store)
+			n := newNode(settings, logr.Discard(), &standInBackends{}, vmStore{f.store, name})
 			f.nodes[n.peerAddress()] = n
 			raw, err := json.Marshal(vmRegistration{FailureDomain: region, Region: region, PeerAddress: n.peerAddress(), Incarnation: n.incarnation, Weight: 1})
 			require.NoError(t, err)
@@ -204,3 +237,23 @@
 		})
 	}
 }
+
+// Guards against a hub that stays with an old state because it does not reach the store,
+// although the other hub does.
+func TestHubWithoutTheStoreLearnsFromTheOtherHub(t *testing.T) {
+	runStoreFleet(t, 10, func(f *storeFleet) {
+		for _, n := range f.nodes {
+			n.mu.Lock()
+			isHub := n.peers.IsHub(n.now())
+			n.mu.Unlock()
+			if isHub {
+				f.set(func(s *restoredStore) { s.cut[n.settings.VM] = true })
+				break
+			}
+		}
+		time.Sleep(5 * time.Second)
+		agreement, _ := f.restore(300 * time.Millisecond)
+		require.NotZero(t, agreement)
+		require.LessOrEqual(t, agreement, 4*time.Second)
+	})
+}
