gateway: a failure response releases no request from quarantine

A server that fails part of its requests answers a trial with 500 before it runs what crashes it. Only a response below 500 completes a request.

--- a/entry/gateway/poison.go
+++ b/entry/gateway/poison.go
@@ -177,10 +177,10 @@
 	}
 }
 
-// isCompleted reports whether a server worked on the request to its end. A server that
-// stopped at the deadline may not have reached what crashes it.
+// isCompleted reports whether a server worked on the request to its end. One that failed, or
+// stopped at the deadline, may not have reached what crashes it.
 func isCompleted(response *upstream.Response) bool {
-	return response != nil && response.ServerHeaders.Sealed && !response.ServerHeaders.NotRun && response.Status != http.StatusGatewayTimeout
+	return response != nil && response.ServerHeaders.Sealed && !response.ServerHeaders.NotRun && response.Status < http.StatusInternalServerError
 }
 
 // isConnLost reports whether a call failed because its connection ended, or brought
