--- a/standin/soak/regressions_test.go
+++ b/standin/soak/regressions_test.go
@@ -36,3 +36,19 @@
 	require.NoError(t, err)
 	require.Empty(t, violations)
 }
+
+// Guards against a hub that lets withdrawn keys in for as long as it does not reach the
+// store, although the other hub has read of the withdrawal.
+func TestHubCutFromTheStoreHeedsWithdrawals(t *testing.T) {
+	t.Parallel()
+	plan := []Event{
+		{Start: 4 * time.Second, Kind: StoreUnresponsive, Target: 3, Duration: 14 * time.Second},
+		{Start: 5 * time.Second, Kind: StoreRestored, Target: 3, Duration: time.Second},
+		{Start: 7 * time.Second, Kind: WithdrawKey},
+		{Start: 7500 * time.Millisecond, Kind: ServerDrains, Target: 0},
+		{Start: 8 * time.Second, Kind: Evacuate, Target: 1},
+	}
+	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 73, Plan: plan})
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
