--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -116,9 +116,9 @@
 	expectedTime time.Duration
 	// retryAfter is when the caller was told to come back; 0 if it was not.
 	retryAfter time.Duration
-	// contentHashes identify the request once hashed is set.
-	contentHashes poison.Fingerprints
-	hashed        bool
+	// cachedFingerprints are those of the request once hasFingerprints is set.
+	cachedFingerprints poison.Fingerprints
+	hasFingerprints    bool
 	// suspect is set if the request was in progress when a server crashed, trial if it is
 	// quarantined and sent to one server nevertheless.
 	suspect, trial bool
@@ -346,7 +346,7 @@
 	}
 	r.placement.Remaining = time.Until(r.deadline)
 	r.placement.Waited = time.Since(r.incoming.Arrived)
-	choice = r.pickUnlessExcluded()
+	choice = r.pickIsolated()
 	if choice.Server == nil && n.links.Lost() {
 		choice.Reason = placement.LinksLost
 	}
@@ -489,8 +489,8 @@
 
 // fingerprints identify the request across callers' attempts and VMs.
 func (r *request) fingerprints() poison.Fingerprints {
-	if r.hashed {
-		return r.contentHashes
+	if r.hasFingerprints {
+		return r.cachedFingerprints
 	}
 	content := poison.Content{
 		Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI, Route: r.route.Name, Body: r.incoming.Body,
@@ -498,8 +498,8 @@
 	if r.account != nil {
 		content.Account = r.account.Name
 	}
-	r.contentHashes, r.hashed = content.Fingerprints(), true
-	return r.contentHashes
+	r.cachedFingerprints, r.hasFingerprints = content.Fingerprints(), true
+	return r.cachedFingerprints
 }
 
 // maxIdleConns returns the number of idle connections that this VM keeps to a server of
