poison: crashes count as one after the other whatever time messages take

Cause, found by reading: a VM kept the time of a crash from the first message about it. If that message had taken longer than the next one, the request of the second crash seemed to have been sent before the first crash, the crashes did not count as one after the other, and the VM sent the request on. A known crash now takes its earliest time. TestCrashesInARowWhenMessages- AreDelayed failed before (200 and 141 ms), passes now. That this is all there was to the failure is not shown: it was not reproduced.

--- a/core/poison/book_test.go
+++ b/core/poison/book_test.go
@@ -373,3 +373,18 @@
 	require.Less(t, len(one), 200, "bytes of a quarantined request")
 	t.Log(len(raw), len(one))
 }
+
+// Guards against VMs that do not count crashes as one after the other because the messages
+// about them took different times.
+func TestCrashesInARowWhenMessagesAreDelayed(t *testing.T) {
+	observer, receiver := New(), New()
+	observer.Crashed(100*ms, culprit, crash("s1", 0, 100*ms))
+	first := observer.Shares(100*ms, culprit)
+	observer.Crashed(160*ms, culprit, crash("s2", 100*ms, 160*ms))
+	second := observer.Shares(160*ms, culprit)
+	receiver.Merge(300*ms, first...)
+	before := receiver.Changes()
+	receiver.Merge(301*ms, second...)
+	require.Equal(t, observer.Quarantined(), receiver.Quarantined())
+	require.Greater(t, receiver.Changes(), before)
+}
--- a/core/poison/shared.go
+++ b/core/poison/shared.go
@@ -155,7 +155,7 @@
 		}
 	}
 	for _, c := range s.Crashes {
-		if e.mergeCrash(Crash{Server: c.Server, Version: c.Version, SentAt: timeOf(now, c.SentMS), At: timeOf(now, c.AgeMS), variant: c.Variant}) {
+		if b.mergeCrash(e, Crash{Server: c.Server, Version: c.Version, SentAt: timeOf(now, c.SentMS), At: timeOf(now, c.AgeMS), variant: c.Variant}) {
 			changed = true
 		}
 	}
@@ -182,10 +182,16 @@
 // change: ages grow by the time that messages take.
 const clockTolerance = 250 * time.Millisecond
 
-// mergeCrash records a crash that another VM knows of.
-func (e *entry) mergeCrash(c Crash) (changed bool) {
-	for _, known := range e.crashes {
+// mergeCrash records a crash that another VM knows of. A known crash takes the earliest time,
+// that of the fastest message: a later one might lie after the next crash's request.
+func (b *Book) mergeCrash(e *entry, c Crash) (changed bool) {
+	for i := range e.crashes {
+		known := &e.crashes[i]
 		if known.Server == c.Server && (known.At-c.At).Abs() < clockTolerance && (known.SentAt-c.SentAt).Abs() < clockTolerance {
+			if c.At < known.At {
+				known.At = c.At
+				b.changes++
+			}
 			return false
 		}
 	}
