--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -313,16 +313,12 @@
 				served++
 			}
 		}
-		tb.restorations = append(tb.restorations, restorationResult{sent, served})
 		if float64(sent-served) > maxUnservedShare*float64(sent) {
 			report("around a restoration of the store, %d of %d requests were served", served, sent)
 		}
 	}
 }
 
-// restorationResult is the number of requests around a restoration of the store.
-type restorationResult struct{ sent, served int }
-
 // otherFaultWithin reports whether a fault other than fault i was in progress between two
 // times.
 func (tb *testbed) otherFaultWithin(i int, from, to time.Time) bool {
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -93,7 +93,6 @@
 	executions   *executionLog
 	outcomes     *outcomeLog
 	pauses       *pauseLog
-	restorations []restorationResult
 
 	mu       sync.Mutex
 	version  int
