--- a/review/kit/bodies.go
+++ b/review/kit/bodies.go
@@ -9,7 +9,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -87,7 +86,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(12 * time.Second))
-	if _, err := fmt.Fprintf(conn, "POST /book/files HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 10000\r\nContent-Length: %d\r\n\r\n", id, bytes); err != nil {
+	if _, err := fmt.Fprintf(conn, "POST /files/up HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 10000\r\nContent-Length: %d\r\n\r\n", id, bytes); err != nil {
 		return 0, err
 	}
 	chunk := make([]byte, 256<<10)
@@ -124,70 +123,12 @@
 	if !s.trouble {
 		bytes = 64 << 10
 	}
-	if err := s.serve(s.ip(200)+":9000", s.store); err != nil {
+	f, err := startFleet(s, "unsafe")
+	if err != nil {
 		return 0, err
 	}
-	s.store.put("op", "config", object{
-		"version": "00000007", "routes": object{"r-book": route("/book/", "unsafe", "bookhouse", "10000ms")},
-		"services": object{"bookhouse": object{"health_path": "/health", "max_conns": 360, "cold_start": "0ms", "cold_per_s": 19.0}}, "limits": limits, "tenants": object{},
-	})
-	var backends []*backend
-	for i := range 6 {
-		b := &backend{s: s, id: fmt.Sprintf("i-%d", i), service: "bookhouse", zone: []string{"north-a", "north-b", "south-a"}[i%3], address: s.ip(100+i) + ":8000", work: 500 * time.Millisecond}
-		if err := s.serve(b.address, b); err != nil {
-			return 0, err
-		}
-		b.register("ready")
-		backends = append(backends, b)
-	}
-	var fronts []*gateway
-	for _, p := range []place{{"front-north-a-1", "north-a"}, {"front-north-b-1", "north-b"}} {
-		g, err := s.addGateway(p, s.ip(200)+":9000")
-		if err != nil {
-			return 0, err
-		}
-		fronts = append(fronts, g)
-	}
-	for _, g := range fronts {
-		if !g.awaitReady() {
-			return 0, fmt.Errorf("%s is not ready", g.place.name)
-		}
-	}
-	// The platform: it kills a process above memory_mb, and starts it again.
-	stopPlatform := make(chan struct{})
-	var platform, clients sync.WaitGroup
-	kills := make([]int, len(fronts))
-	peaks := make([]int64, len(fronts))
-	for i, g := range fronts {
-		platform.Go(func() {
-			for {
-				select {
-				case <-stopPlatform:
-					return
-				case <-time.After(3 * time.Millisecond):
-				}
-				rss := g.rss()
-				peaks[i] = max(peaks[i], rss)
-				if rss <= memoryMB<<20 {
-					continue
-				}
-				s.note("platform: %s has %d MiB, above memory_mb %d: killed", g.place.name, rss>>20, memoryMB)
-				kills[i]++
-				<-g.signal(syscall.SIGKILL)
-				time.Sleep(500 * time.Millisecond)
-				if err := g.run(); err != nil {
-					s.note("platform: %v", err)
-					return
-				}
-			}
-		})
-	}
-	results := make(chan result, 100000)
-	stop := make(chan struct{})
-	for i := range 24 {
-		c := &keptClient{s: s, index: i, address: fronts[i%len(fronts)].ip + ":8206", results: results}
-		clients.Go(func() { c.run(stop) })
-	}
+	fronts := f.fronts
+	f.startBookings()
 	time.Sleep(5 * time.Second)
 	for round := range rounds {
 		var batch sync.WaitGroup
@@ -204,36 +145,5 @@
 		batch.Wait()
 		time.Sleep(time.Second)
 	}
-	close(stop)
-	clients.Wait()
-	close(stopPlatform)
-	platform.Wait()
-	close(results)
-	ran := make(map[string]int)
-	for _, b := range backends {
-		for _, r := range b.allRuns() {
-			ran[r.attempt]++
-		}
-	}
-	answered, lost, lostAndRun := 0, 0, 0
-	for r := range results {
-		switch {
-		case !r.lost:
-			answered++
-		case ran[r.attempt] > 0:
-			lost++
-			lostAndRun++
-			s.note("client: %s was passed on to a backend and its connection ended without an answer", r.attempt)
-		default:
-			lost++
-		}
-	}
-	for i, g := range fronts {
-		s.note("%s: peak %d MiB, killed %d times", g.place.name, peaks[i]>>20, kills[i])
-	}
-	s.note("bookings: %d answered, %d without an answer, %d of them were passed on to a backend (allowed: 3)", answered, lost, lostAndRun)
-	if lostAndRun > 3 {
-		return exitBroken, nil
-	}
-	return exitHeld, nil
+	return f.check()
 }
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -248,9 +248,27 @@
 	}
 	w.Header().Set("X-Server-Seal", "seal."+b.id)
 	w.Header().Set("X-Server-Load", "1,0,8")
+	if size, ok := strings.CutPrefix(r.URL.Path, "/files/"); ok && r.Method == http.MethodGet {
+		sendFile(w, size)
+		return
+	}
 	fmt.Fprintf(w, "%s %d", id, received)
 }
 
+// sendFile sends a body of a size.
+func sendFile(w http.ResponseWriter, size string) {
+	left, _ := strconv.Atoi(size)
+	w.Header().Set("Content-Length", size)
+	chunk := make([]byte, 64<<10)
+	for left > 0 {
+		n, err := w.Write(chunk[:min(left, len(chunk))])
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
 func drainBody(r *http.Request) (n int64) {
 	buf := make([]byte, 64<<10)
 	for {
