--- a/review/kit/pages.go
+++ b/review/kit/pages.go
@@ -42,7 +42,7 @@
 		drainBound   = 2500 * time.Millisecond
 		stableWindow = 4 * time.Second
 		servesFor    = 14 * time.Second
-		emptyTime    = 800 * time.Millisecond
+		emptyTime    = 400 * time.Millisecond
 		startSpread  = 300 * time.Millisecond
 		machines     = 20
 		killed       = 11 // share 0.55 (herd_kill)
