--- a/review/kit/pages.go
+++ b/review/kit/pages.go
@@ -110,7 +110,13 @@
 		}
 	}
 	downTime := time.Second
-	time.AfterFunc(downTime, empty)
+	var begin sync.Once
+	if s.trouble {
+		// The operator begins as the first machine that is back reads the table.
+		s.store.onPage = func(string, string) { begin.Do(func() { go empty() }) }
+	} else {
+		time.AfterFunc(downTime, func() { begin.Do(empty) })
+	}
 	for i, g := range fronts {
 		started[i] = s.start
 		if !s.trouble || i >= killed {
