--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -31,6 +31,8 @@
 	prefix  string
 	start   time.Time
 	store   *store
+	// drain is the bound of the same name in the settings.
+	drain string
 
 	mu       sync.Mutex
 	record   *os.File
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &setup{trouble: os.Getenv("TROUBLE") != "0", folder: temporary, start: time.Now(), record: record, store: newStore()}
+	s := &setup{trouble: os.Getenv("TROUBLE") != "0", folder: temporary, start: time.Now(), record: record, store: newStore(), drain: "2500ms"}
 	for range 50 {
 		s.prefix = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
 		if l, err := net.Listen("tcp", s.prefix+"1:8206"); err == nil {
@@ -123,7 +125,7 @@
 			"address": storeAddress, "form": "table", "writes_per_s": 400, "reads_per_s": 2000, "tx": "3ms", "part_writes_s": 300, "row_bytes": 65536,
 		}},
 		"terms": map[string]any{"bounds": map[string]any{
-			"drain": "2500ms", "grace_period": "6s", "config_apply": "2500ms", "stable_window": "4000ms", "retry_budget_ratio": 0.2, "retry_budget_slack": 60,
+			"drain": g.s.drain, "grace_period": "6s", "config_apply": "2500ms", "stable_window": "4000ms", "retry_budget_ratio": 0.2, "retry_budget_slack": 60,
 			"budget_window": "10s", "quota_tolerance": 0.1, "quota_slack": 20, "quota_window": "5s", "cold_over": 1.5, "cold_slack": 5,
 			"max_region_shift": 0.15, "ttl_max": "5s",
 		}},
--- a/review/kit/pages.go
+++ b/review/kit/pages.go
@@ -39,7 +39,7 @@
 	zones = map[string]string{"taipei-a": "north-tw", "taichung-a": "central-tw", "kaohsiung-a": "south-tw"}
 	const (
 		backendCount = 569
-		drainBound   = 2500 * time.Millisecond
+		drainBound   = 3 * time.Second
 		stableWindow = 4 * time.Second
 		servesFor    = 14 * time.Second
 		emptyTime    = 400 * time.Millisecond
@@ -50,6 +50,7 @@
 		perSecond    = 40
 	)
 	s.store.delay = 4 * time.Millisecond
+	s.drain = "3000ms"
 	if err := s.serve(s.ip(200)+":9000", farStore{s.store, 12 * time.Millisecond}); err != nil {
 		return 0, err
 	}
