--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -107,7 +107,7 @@
 var zones = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}
 
 // addGateway starts a gateway with the command of the deploy file. The settings are those
-// of the pages' example (fleetbench wire), with the bounds of the small site.
+// of the pages' example, with the bounds of the small site.
 func (s *setup) addGateway(p place, storeAddress string) (*gateway, error) {
 	i := len(s.gateways) + 1
 	g := &gateway{s: s, place: p, ip: s.ip(i), settings: filepath.Join(s.folder, p.name+".json")}
@@ -306,7 +306,7 @@
 	}
 }
 
-// limits are those of the pages' example (fleetbench wire).
+// limits are those of the pages' example.
 var limits = object{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"}
 
 const memoryMB = 284
--- a/review/kit/owner.go
+++ b/review/kit/owner.go
@@ -16,7 +16,7 @@
 
 func init() { cases["owner"] = owner }
 
-// The tenant of the case, as in the pages' example (fleetbench wire), and the bounds of the
+// The tenant of the case, as in the pages' example, and the bounds of the
 // site for it.
 const (
 	tenantRate, tenantBurst = 474.0, 474.0
