catalog, gateway: a position is one up to which all changes are known

Cause: a full read of more than 500 rows takes several pages, each as of its own moment. The replica and the catalog raised the position of the read, that of its first page, to the newest position of any row, so that the watch went on behind a change that a page had missed. Hubs passed this on.

Now a position comes from a response, never from a row.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -170,3 +170,15 @@
 	require.True(t, c.LoadVMs(0, 1, nil))
 	require.True(t, c.BuildView(0).Ready)
 }
+
+// Guards against a full read that is ignored because an earlier one, in several pages, had
+// a row that is newer than its position.
+func TestRowsOfALaterPageAreNotThePosition(t *testing.T) {
+	c := loadedCatalog(t)
+	require.True(t, c.LoadServers(0, 20, []RowChange[steering.Server]{serverChange(3, testServer("s1"), "s1"), serverChange(30, testServer("s2"), "s2")}))
+	draining := testServer("s1")
+	draining.Draining = true
+	require.True(t, c.LoadServers(0, 25, []RowChange[steering.Server]{serverChange(22, draining, "s1"), serverChange(4, testServer("s2"), "s2")}))
+	require.Equal(t, []string{"s2"}, serverIDs(c.BuildView(0)))
+	require.True(t, c.ApplyServer(0, serverChange(26, nil, "s1")))
+}
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -50,7 +50,9 @@
 // to, rows that are missing and rows that are older than the known ones do not
 // change the known state.
 type table[T any] struct {
-	rows    map[string]*row[T]
+	rows map[string]*row[T]
+	// version is the position up to which all changes are known. Single rows may be
+	// newer, because a full read takes several pages.
 	version platform.Position
 	loaded  bool
 	// missingUntil and outdatedUntil are how long rows are kept that a restored
@@ -102,6 +104,11 @@
 		return false
 	}
 	t.version = max(t.version, c.Position)
+	return t.applyRow(now, c)
+}
+
+// applyRow applies one change, or one row of a full read, to its row.
+func (t *table[T]) applyRow(now time.Duration, c RowChange[T]) bool {
 	r := t.rows[c.Key]
 	if r == nil {
 		r = &row[T]{}
@@ -136,7 +143,8 @@
 	return t.olderThan(value, r.newest(), r.value == nil)
 }
 
-// load applies a full read at a position. It reports whether the read was used.
+// load applies a full read that has all changes up to a position. It reports whether the
+// read was used.
 func (t *table[T]) load(now time.Duration, version platform.Position, rows []RowChange[T]) bool {
 	if t.loaded && version < t.version {
 		return false
@@ -149,7 +157,7 @@
 	present := make(map[string]bool, len(rows))
 	for _, c := range rows {
 		present[c.Key] = true
-		t.apply(now, c)
+		t.applyRow(now, c)
 	}
 	for key, r := range t.rows {
 		if present[key] || r.value == nil || r.version > version {
--- a/entry/gateway/replica.go
+++ b/entry/gateway/replica.go
@@ -42,7 +42,8 @@
 	rows map[string]adapter.Row
 	// historyStart is the version up to which deletions are not known: that of
 	// the full read with which the copy began or that of the newest tombstone
-	// dropped since. version is the newest version in the copy.
+	// dropped since. version is that up to which the copy has all changes; single
+	// rows may be newer, because a full read takes several pages.
 	historyStart, version platform.Position
 	tombstoneCount        int
 	loaded                bool
@@ -87,7 +88,6 @@
 		if r.Deleted {
 			t.tombstoneCount++
 		}
-		t.version = max(t.version, r.Position)
 	}
 	t.version = max(t.version, rows.Position)
 	if t.tombstoneCount > maxTombstones {
@@ -106,8 +106,8 @@
 	t.tombstoneCount = 0
 }
 
-// version returns the version of a table's replica and whether the table has
-// been read.
+// version returns the version up to which a table's replica is complete and whether
+// the table has been read.
 func (m *replicas) version(table string) (platform.Position, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -146,7 +146,9 @@
 		}
 		c := tableChanges{Full: since < t.historyStart, Rows: adapter.Rows{Position: t.version}}
 		for _, r := range t.rows {
-			if c.Full && !r.Deleted || !c.Full && r.Position > since {
+			// Changes after the version are not passed on alone: others before them
+			// may be missing.
+			if c.Full && !r.Deleted || !c.Full && r.Position > since && r.Position <= t.version {
 				c.Rows.Rows = append(c.Rows.Rows, r)
 			}
 		}
