upstream: an earlier rejection that a server repeats is not taken for a later request's

A request that the server ran was answered "not run", or ran at a second server.

Cause: the response to a request is recognized by its id. Two cases passed: the same request sent again on the connection on which it was rejected, and a rejection without an id on a connection that had been used before.

Now a connection remembers the ids that were rejected on it, at most 32, after which it is closed, and gets none of these requests again. A rejection without an id counts only on a connection without an earlier request; otherwise the outcome is unknown.

Ruled out: a rejection with another request's id (skipped before); health checks (connections of their own); the entry process (bookings have connections of their own).

Before: three of four cases of TestEarlierRejectionIsNotTakenForALaterRequest failed ("Expected error with malformed response in chain but got nil", twice "Should be false"). After: all pass.

--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	// maxSkippedResponses bounds the responses to other requests that one call
 	// skips on its connection.
 	maxSkippedResponses = 2
+	// maxRejectionsPerConn is the number of rejected requests after which a connection is
+	// not kept, because their ids are remembered with it.
+	maxRejectionsPerConn = 32
 	// connectTimeout bounds opening a connection. It is above the longest
 	// round-trip time between regions and below the time until a lost first
 	// packet is retransmitted, which is a second.
@@ -96,7 +100,11 @@
 	// Without the id, a late second copy of the response could not be told from the
 	// response to the next request.
 	identified := call.AttemptID != "" && response.ServerHeaders.AttemptID == call.AttemptID
-	if keep && identified && c.br.Buffered() == 0 {
+	c.served = true
+	if response.ServerHeaders.NotRun {
+		c.rejectedIDs = append(c.rejectedIDs, call.AttemptID)
+	}
+	if keep && identified && c.br.Buffered() == 0 && len(c.rejectedIDs) < maxRejectionsPerConn {
 		p.keep(c, response.Header.Get("Keep-Alive"), call.MaxIdleConns)
 	} else {
 		_ = c.Close()
@@ -115,10 +123,16 @@
 }
 
 // getConn returns an idle connection to the server or opens one. A call without an id
-// gets a new connection, because it cannot skip a late response to an earlier request.
+// gets a new connection, because it cannot skip a late response to an earlier request; so
+// does a request that was rejected on the connection before.
 func (p *Pool) getConn(ctx context.Context, call *Call, trace *Trace) (*conn, error) {
 	if call.AttemptID != "" {
-		if c := p.takeIdle(call.ServerID, call.Idempotent); c != nil {
+		c := p.takeIdle(call.ServerID, call.Idempotent)
+		for c != nil && slices.Contains(c.rejectedIDs, call.AttemptID) {
+			_ = c.Close()
+			c = p.takeIdle(call.ServerID, call.Idempotent)
+		}
+		if c != nil {
 			return c, nil
 		}
 	}
@@ -249,7 +263,7 @@
 	if err != nil {
 		return nil, false, c.badResponseError(err)
 	}
-	if call.AttemptID != "" && serverHeaders.AttemptID != call.AttemptID && (serverHeaders.AttemptID != "" || !serverHeaders.NotRun) {
+	if !c.belongsTo(call, serverHeaders) {
 		if serverHeaders.AttemptID != "" && !httpResponse.Close && httpResponse.ContentLength >= 0 {
 			return nil, false, nil
 		}
@@ -258,6 +272,15 @@
 	return &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, ServerHeaders: serverHeaders}, !httpResponse.Close && isSelfDelimited(httpResponse), nil
 }
 
+// belongsTo reports whether a response is the one to a call. A rejection without an id is
+// accepted only on a connection without an earlier request, whose rejection it may repeat.
+func (c *conn) belongsTo(call *Call, response adapter.ServerHeaders) bool {
+	if call.AttemptID == "" || response.AttemptID == call.AttemptID {
+		return true
+	}
+	return response.AttemptID == "" && response.NotRun && !c.served
+}
+
 // isSelfDelimited reports whether the end of a response is known without the
 // end of the connection.
 func isSelfDelimited(r *http.Response) bool {
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -67,6 +67,10 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	reused    bool
+	// served is set once a request was answered on the connection. rejectedIDs are the ids
+	// of the requests that were not run.
+	served      bool
+	rejectedIDs []string
 }
 
 // maxIdleFor returns how long a connection may have been idle to be reused.
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -379,3 +379,43 @@
 		lines <- string(buf[:n])
 	})
 }
+
+// Guards against a faulty server that writes an earlier rejection once more on a kept
+// connection: the caller would be told that a request was not run which the server runs.
+func TestEarlierRejectionIsNotTakenForALaterRequest(t *testing.T) {
+	const anonymous = "HTTP/1.1 503 Service Unavailable\nX-Not-Executed: 1\nContent-Length: 0\n\n"
+	const identified = "HTTP/1.1 503 Service Unavailable\nX-Attempt-Id: a\nX-Not-Executed: 1\nContent-Length: 0\n\n"
+	tests := map[string]struct {
+		first, again, later string
+		unknown             bool
+	}{
+		"with the id of another request":               {first: "a", again: identified, later: "b"},
+		"without an id, after one to another caller":   {first: "a", again: anonymous, later: "b", unknown: true},
+		"with the id of a request that is sent again":  {first: "a", again: identified, later: "a"},
+		"without an id, to a request that is repeated": {first: "a", again: anonymous, later: "a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(p *Pool, _ *scriptedServer) {
+				got, _, err := p.Do(context.Background(), newCall(test.first))
+				require.NoError(t, err)
+				require.True(t, got.ServerHeaders.NotRun)
+				got, trace, err := p.Do(context.Background(), newCall(test.later))
+				if test.unknown {
+					require.ErrorIs(t, err, ErrMalformed, "the request may have run")
+					require.True(t, trace.Sent)
+					return
+				}
+				require.NoError(t, err)
+				require.False(t, got.ServerHeaders.NotRun)
+				require.Equal(t, "mine", string(got.Body))
+			}, func(c net.Conn, br *bufio.Reader) {
+				readID(br)
+				write(c, identified)
+				if id := readID(br); id != "" {
+					write(c, test.again+okResponse(id, "mine"))
+				}
+			}, func(c net.Conn, br *bufio.Reader) { write(c, okResponse(readID(br), "mine")) })
+		})
+	}
+}
