upstream: truncated responses, as a test

Reported by other operators: a server stopped in the middle of the head of its response and closed; callers got a 200 with an empty or short body, framed as whole.

Not found here: net/http fails a head without its empty line, and a body or trailer without its end.

--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -419,3 +419,34 @@
 		})
 	}
 }
+
+// Guards against an answer of which a part is taken for the whole: the server stops at any
+// byte and ends the connection, in good order or not, or says nothing more.
+func TestTruncatedResponseIsNotComplete(t *testing.T) {
+	heads := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: s\r\nContent-Length: 12\r\nX-Server-Load: 1,0,6\r\n\r\nhello, world",
+		"chunks":  "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n",
+		"interim": "HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 2\r\nX-Server-Seal: s\r\n\r\nhi",
+		"empty":   "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	}
+	ends := map[string]func(c net.Conn){
+		"closed":  func(c net.Conn) { _ = c.Close() },
+		"silence": func(net.Conn) { time.Sleep(5 * time.Second) },
+	}
+	for name, whole := range heads {
+		for end, finish := range ends {
+			t.Run(name+" "+end, func(t *testing.T) {
+				for n := range len(whole) {
+					runInVirtualTime(t, func(p *Pool, _ *scriptedServer) {
+						got, _, err := p.Do(context.Background(), newCall("a"))
+						require.Error(t, err, "after %q: %+v", whole[:n], got)
+					}, func(c net.Conn, br *bufio.Reader) {
+						readID(br)
+						_, _ = io.WriteString(c, whole[:n])
+						finish(c)
+					})
+				}
+			})
+		}
+	}
+}
