gateway: a request that waited is not passed on late in the grace period

Cause: whether the process may end before the deadline was looked at once, when a request arrived, and requests of the first 2.5 s are taken in any case. One that then waited (a server that rejected it from its queue, connections that were refused slowly, a grant) was sent to the next server whatever was left.

Now it is looked at before each attempt. A request that has not run gets 503 with a Retry-After of 50 ms, so that another VM can run it; one that may have run gets what it would get without another server.

Ruled out: requests that arrive after 2.5 s with a deadline beyond the end (rejected before); relays (they look when the request arrives and here); the entry process (core/shutdown rejects before it finishes requests).

--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -30,7 +30,7 @@
 // mayStopBefore reports whether this process may stop before deadline, so that
 // a request could be cut off. Requests that arrive soon after the stop signal
 // are accepted in any case, because callers may not know yet that the VM
-// leaves.
+// leaves; later none is sent to a server that may still work at the deadline.
 func (n *Node) mayStopBefore(deadline time.Time) bool {
 	if !n.stopping.Load() {
 		return false
@@ -40,13 +40,18 @@
 	return elapsed > leaveNoticeDelay && time.Until(deadline) > remaining
 }
 
+// beginStop records that the process got the signal to stop.
+func (n *Node) beginStop() {
+	n.stoppingSince.Store(int64(n.now()))
+	n.stopping.Store(true)
+}
+
 // drain performs a planned stop, which cuts off no request. The directory no
 // longer returns this VM to callers, requests that still arrive are served, and
 // the process ends once no more arrive or the grace period is over.
 func (n *Node) drain(ctx context.Context) {
 	start := time.Now()
-	n.stoppingSince.Store(int64(n.now()))
-	n.stopping.Store(true)
+	n.beginStop()
 	n.log.Info("stopping", "vm", n.settings.VM, "grace", n.bounds.Load().GracePeriod.String())
 	n.ingress.Drain()
 	n.relayServer.Drain()
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -163,7 +163,7 @@
 	}
 	r.deadline = r.incoming.Arrived.Add(timeout)
 	if r.node.mayStopBefore(r.deadline) {
-		return r.reject(http.StatusServiceUnavailable, leavingRetryAfter, "VM is leaving")
+		return r.giveUp(placement.Choice{Reason: vmLeaving, RetryAfter: leavingRetryAfter})
 	}
 	if retryAfter, quarantined := r.checkQuarantine(); quarantined {
 		return r.giveUp(placement.Choice{Reason: placement.Quarantined, RetryAfter: retryAfter})
@@ -287,6 +287,9 @@
 		if retryAfter, quarantined := r.checkQuarantine(); quarantined {
 			return r.giveUp(placement.Choice{Reason: placement.Quarantined, RetryAfter: retryAfter})
 		}
+		if r.node.mayStopBefore(r.deadline) {
+			return r.giveUp(placement.Choice{Reason: vmLeaving, RetryAfter: leavingRetryAfter})
+		}
 		choice, ok := r.chooseServer(ctx)
 		if !ok && r.mayRelay(choice) {
 			return r.relay(ctx, choice)
@@ -357,6 +360,9 @@
 	return r.startAttempt(choice), false
 }
 
+// vmLeaving is the reason of rejections by a VM that stops before the deadline.
+const vmLeaving placement.Reason = "VM is leaving"
+
 // startAttempt starts an attempt with a choice if the retry budget allows it. The caller
 // holds mu.
 func (r *request) startAttempt(choice placement.Choice) placement.Choice {
--- a/entry/gateway/request_test.go
+++ b/entry/gateway/request_test.go
@@ -425,8 +425,7 @@
 func TestLeavingVM(t *testing.T) {
 	b := &standInBackends{handlers: onAllServers(respondWith(200, ""))}
 	runInVirtualTime(t, b, testConfig(), func(n *Node, serve func(*ingress.Request) *ingress.Response) {
-		n.stoppingSince.Store(int64(n.now()))
-		n.stopping.Store(true)
+		n.beginStop()
 		require.Equal(t, 200, serve(newRequest("GET", "/look/")).Status)
 		time.Sleep(4 * time.Second)
 		require.Equal(t, 200, serve(newRequest("GET", "/look/")).Status, "the request ends before the process")
