gateway: the last requests of a planned stop are answered 150 ms before its end

Cause: a request was taken if its deadline, and the 0.1 s for which a response is awaited after it, fitted into the time left. The response of the last one was due at the very moment at which the process ended, so that any delay cut its connection.

The decision now leaves 150 ms for writing the last responses.

Before: TestLastRequestsAreAnsweredBeforeTheProcessEnds failed ("5.8s" is not less than or equal to "5.7s"). After: passes; 21 requests with timeouts from 2 to 3 s that arrive 3 s after the signal, at a silent server, are all answered.

--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -12,6 +12,9 @@
 	// killMargin is the part of the grace period that is reserved for the
 	// process to exit.
 	killMargin = 150 * time.Millisecond
+	// finalWriteMargin is the part of the grace period that is reserved for writing the
+	// last responses.
+	finalWriteMargin = 150 * time.Millisecond
 	// minDrainTime is the shortest time for which a leaving VM keeps serving.
 	// Callers learn from the directory within this time that the VM leaves.
 	minDrainTime = 3500 * time.Millisecond
@@ -36,7 +39,7 @@
 		return false
 	}
 	elapsed := n.now() - time.Duration(n.stoppingSince.Load())
-	remaining := n.bounds.Load().GracePeriod - killMargin - responseMargin - elapsed
+	remaining := n.bounds.Load().GracePeriod - killMargin - finalWriteMargin - responseMargin - elapsed
 	return elapsed > leaveNoticeDelay && time.Until(deadline) > remaining
 }
 
--- a/entry/gateway/drain_test.go
+++ b/entry/gateway/drain_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -50,3 +54,50 @@
 		})
 	}
 }
+
+// Guards against a process that ends at the moment at which the last request that it took
+// is answered: a little load on the machine would cut that request off.
+func TestLastRequestsAreAnsweredBeforeTheProcessEnds(t *testing.T) {
+	for method, target := range map[string]string{"POST": "/book/", "GET": "/look/"} {
+		t.Run(target, func(t *testing.T) {
+			b := &standInBackends{handlers: onAllServers(alwaysRespond(unresponsive))}
+			runInVirtualTime(t, b, patientConfig(), func(n *Node, _ func(*ingress.Request) *ingress.Response) {
+				l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				go func() { _ = n.ingress.Serve(l) }()
+				start := time.Now()
+				drained := make(chan time.Duration, 1)
+				go func() {
+					n.drain(context.Background())
+					drained <- time.Since(start)
+				}()
+				time.Sleep(3 * time.Second)
+				answers := make(chan time.Duration, 40)
+				var timeouts []int
+				for ms := 2000; ms <= 3000; ms += 50 {
+					timeouts = append(timeouts, ms)
+				}
+				for _, ms := range timeouts {
+					c, err := l.dial()
+					require.NoError(t, err)
+					go func() {
+						defer c.Close()
+						_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n", method, target, ms, ms)
+						response, err := http.ReadResponse(bufio.NewReader(c), nil)
+						if err == nil && response.StatusCode >= http.StatusServiceUnavailable {
+							answers <- time.Since(start)
+						}
+					}()
+				}
+				require.Less(t, <-drained, n.bounds.Load().GracePeriod)
+				time.Sleep(time.Second)
+				require.Len(t, answers, len(timeouts), "each request that was read is answered")
+				var last time.Duration
+				for range timeouts {
+					last = max(last, <-answers)
+				}
+				require.LessOrEqual(t, last, n.bounds.Load().GracePeriod-killMargin-finalWriteMargin)
+				require.NoError(t, l.Close())
+			})
+		})
+	}
+}
