standin/soak: gateways that are replaced by another build, both ways

Replace stops a gateway as planned and starts the other build in its place. The logs of failed tests are kept.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STATICCHECK := $(shell go env GOPATH)/bin/staticcheck
 export CGO_ENABLED := 1
 
-.PHONY: build test lint model measure capacity overhead demo faults soak generate tools
+.PHONY: build test lint model measure capacity overhead demo faults soak upgrade-soak generate tools
 
 build:
 	go build -ldflags "-X main.version=$(VERSION)" -o bin/cassiawind ./cassiawind
@@ -50,6 +50,13 @@
 soak: build
 	go run ./standin/cmd/soak -count 10
 
+# The same with gateways that are replaced in series by the build of deploy/system.toml's
+# production commit, and with that build replaced by this one.
+upgrade-soak: build
+	bash standin/soak/build-production bin/production
+	go run ./standin/cmd/soak -count 5 -binary bin/production -upgrade bin/cassiawind
+	go run ./standin/cmd/soak -count 5 -binary bin/cassiawind -upgrade bin/production
+
 # Requires protoc, protoc-gen-go and protoc-gen-connect-go.
 generate:
 	cd peerapi && protoc --go_out=. --go_opt=paths=source_relative \
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -20,6 +20,7 @@
 	count := flag.Int("count", 1, "number of seeds")
 	length := flag.Duration("length", 15*time.Second, "time in which faults begin")
 	folder := flag.String("folder", "out/soak", "folder for settings and logs")
+	other := flag.String("upgrade", "", "another build, which the gateways are replaced by in series")
 	restoration := flag.Bool("restoration", false, "restore the store from an older copy, and inject no other fault")
 	flag.Parse()
 	var plan []soak.Event
@@ -31,7 +32,11 @@
 	}
 	failed := 0
 	for i := range *count {
-		if !runSeed(*binary, *folder, *seed+uint64(i), *length, plan) {
+		options := soak.Options{Binary: *binary, OtherBinary: *other, Seed: *seed + uint64(i), FaultPeriod: *length, Plan: plan}
+		if *other != "" {
+			options.Plan = soak.UpgradePlan(options.Seed, *length)
+		}
+		if !runSeed(*folder, options) {
 			failed++
 		}
 	}
@@ -43,27 +48,28 @@
 
 // runSeed runs one seed, with its own plan unless there is another one, and reports whether
 // it passed. If there are violations, it prints them, the plan and the folder of the logs.
-func runSeed(binary, folder string, seed uint64, faultPeriod time.Duration, plan []soak.Event) bool {
-	seedFolder := filepath.Join(folder, fmt.Sprint(seed))
-	if err := os.MkdirAll(seedFolder, 0o755); err != nil {
+func runSeed(folder string, options soak.Options) bool {
+	options.Folder = filepath.Join(folder, fmt.Sprint(options.Seed))
+	if err := os.MkdirAll(options.Folder, 0o755); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	violations, err := soak.Run(context.Background(), soak.Options{Binary: binary, Folder: seedFolder, Seed: seed, FaultPeriod: faultPeriod, Plan: plan})
+	violations, err := soak.Run(context.Background(), options)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
 	if len(violations) == 0 {
-		fmt.Printf("seed %d: ok\n", seed)
+		fmt.Printf("seed %d: ok\n", options.Seed)
 		return true
 	}
-	fmt.Printf("seed %d: broken, logs in %s\n", seed, seedFolder)
+	fmt.Printf("seed %d: broken, logs in %s\n", options.Seed, options.Folder)
 	for _, violation := range violations {
 		fmt.Println("  " + violation)
 	}
+	plan := options.Plan
 	if plan == nil {
-		plan = soak.SeedPlan(seed, faultPeriod)
+		plan = soak.SeedPlan(options.Seed, options.FaultPeriod)
 	}
 	for _, e := range plan {
 		fmt.Println("  plan:", e)
--- a/standin/soak/doc.go
+++ b/standin/soak/doc.go
@@ -15,6 +15,9 @@
 //   - a request that crashes the servers which run it is kept away from them;
 //   - requests are served again after the faults.
 //
+// Gateways may be replaced by another build of the program, one after the other, so that
+// two builds run side by side.
+//
 // Each gateway is a process; the stand-ins run in the test process, which sees
 // both ends. Each gateway reaches the store through its own proxy, which can
 // refuse connections or hold back their bytes. All gateways reach a backend server
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -18,6 +18,7 @@
 	KillAll              Kind = "kill all"
 	PlannedStop          Kind = "planned stop"
 	Pause                Kind = "pause"
+	Replace              Kind = "replaced by the other build"
 	Reload               Kind = "reload"
 	StoreCut             Kind = "store cut"
 	StoreUnresponsive    Kind = "store silent"
--- a/standin/soak/regressions_test.go
+++ b/standin/soak/regressions_test.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"context"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 // regressions are the seeds of all failures found so far, each with its cause.
@@ -22,9 +19,7 @@
 func TestRegressions(t *testing.T) {
 	binary := buildBinary(t)
 	for _, r := range regressions {
-		violations, err := Run(context.Background(), Options{Binary: binary, Folder: t.TempDir(), Seed: r.seed, FaultPeriod: r.faultPeriod})
-		require.NoError(t, err)
-		require.Empty(t, violations, "seed %d, earlier failure: %s", r.seed, r.cause)
+		requireNoViolations(t, Options{Binary: binary, Seed: r.seed, FaultPeriod: r.faultPeriod}, "seed %d, earlier failure: %s", r.seed, r.cause)
 	}
 }
 
@@ -32,9 +27,7 @@
 // of the store. The poll of the servers' table goes on for up to 10 s after another table
 // showed the new era.
 func TestRemovedServerAfterRestorations(t *testing.T) {
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 42000, FaultPeriod: 10 * time.Second})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 42000, FaultPeriod: 10 * time.Second})
 }
 
 // Guards against a hub that lets withdrawn keys in for as long as it does not reach the
@@ -48,7 +41,5 @@
 		{Start: 7500 * time.Millisecond, Kind: ServerDrains, Target: 0},
 		{Start: 8 * time.Second, Kind: Evacuate, Target: 1},
 	}
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 73, Plan: plan})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 73, Plan: plan})
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -21,12 +22,29 @@
 	return binary
 }
 
+// requireNoViolations runs the plan of the options, or that of their seed, and fails the
+// test if the checks find violations. The logs of the gateways are kept then.
+func requireNoViolations(t *testing.T, options Options, message ...any) {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "cassiawind-soak-")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("the logs of the gateways are in", folder)
+			return
+		}
+		require.NoError(t, os.RemoveAll(folder))
+	})
+	options.Folder = folder
+	violations, err := Run(context.Background(), options)
+	require.NoError(t, err)
+	require.Empty(t, violations, message...)
+}
+
 // Guards against gateways that violate a check under faults, in one short run of
 // the real processes. `make soak` does longer runs with new seeds.
 func TestShortSoak(t *testing.T) {
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 1, FaultPeriod: 4 * time.Second})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 1, FaultPeriod: 4 * time.Second})
 }
 
 // Guards against gateways that keep withdrawn keys, evacuated failure domains and
@@ -46,18 +64,14 @@
 		Event{Start: 7700 * time.Millisecond, Kind: ServerDrains, Target: 0},
 	)
 	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 2, Plan: plan})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 2, Plan: plan})
 }
 
 // Guards against gateways that reject their callers while a restored store lacks the
 // configuration and the servers that were written last.
 func TestCallersAreServedAroundARestoration(t *testing.T) {
 	t.Parallel()
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 7, Plan: RestorationPlan()})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 7, Plan: RestorationPlan()})
 }
 
 // Guards against servers that get more requests from all gateways together than the limit
@@ -77,9 +91,7 @@
 		{Start: 9 * time.Second, Kind: PlannedStop, Target: 3},
 		{Start: 11 * time.Second, Kind: ServerSlow, Target: 2, Duration: 2 * time.Second},
 	}
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 3, Plan: plan})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 3, Plan: plan})
 }
 
 // Guards against gateways that are cut from all backend servers and serve their callers
@@ -96,9 +108,7 @@
 		{Start: 18 * time.Second, Kind: GatewayCut, Target: 0, Duration: 2 * time.Second},
 		{Start: 18 * time.Second, Kind: Kill, Target: 1},
 	}
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 4, Plan: plan})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 4, Plan: plan})
 }
 
 // Guards against gateways that lose one server after the other to a request which comes
@@ -116,9 +126,7 @@
 		{Start: 9 * time.Second, Kind: ConfigChange},
 		{Start: 12 * time.Second, Kind: KillAll},
 	}
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 5, Plan: plan})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 5, Plan: plan})
 }
 
 // Guards against gateways that go on sending to servers which leave or want no requests,
@@ -135,9 +143,37 @@
 		{Start: 7 * time.Second, Kind: ServerPauses, Target: 2, Duration: 2 * time.Second},
 		{Start: 8 * time.Second, Kind: StoreRestored, Target: 4, Duration: time.Second},
 	}
-	violations, err := Run(context.Background(), Options{Binary: buildBinary(t), Folder: t.TempDir(), Seed: 6, Plan: plan})
-	require.NoError(t, err)
-	require.Empty(t, violations)
+	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 6, Plan: plan})
+}
+
+// Guards against an upgrade or a downgrade that breaks a promise while gateways of both
+// builds run side by side: each gateway is replaced as planned by the other build, one after
+// the other, with faults around.
+func TestBuildsSideBySide(t *testing.T) {
+	t.Parallel()
+	current, production := buildBinary(t), filepath.Join(t.TempDir(), "production")
+	output, err := exec.Command("bash", "build-production", production).CombinedOutput()
+	require.NoError(t, err, string(output))
+	plan := []Event{
+		{Start: 2 * time.Second, Kind: ConfigChange},
+		{Start: 3 * time.Second, Kind: ServerDrains, Target: 0},
+		{Start: 4 * time.Second, Kind: WithdrawKey},
+		{Start: 5 * time.Second, Kind: StoreDropsHistory},
+		{Start: 7 * time.Second, Kind: Kill, Target: 3},
+		{Start: 9 * time.Second, Kind: ConfigChange},
+	}
+	for i, target := range []int{2, 0, 1, 3, 2, 0} {
+		plan = append(plan, Event{Start: time.Duration(1000+1500*i) * time.Millisecond, Kind: Replace, Target: target})
+	}
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+	for name, options := range map[string]Options{
+		"upgrade": {Binary: production, OtherBinary: current, Seed: 8, Plan: plan}, "downgrade": {Binary: current, OtherBinary: production, Seed: 9, Plan: plan},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireNoViolations(t, options)
+		})
+	}
 }
 
 // Guards against plans that differ between runs of the same seed.
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -53,8 +53,9 @@
 
 // Options are the options of a run.
 type Options struct {
-	// Binary is the cassiawind program.
-	Binary string
+	// Binary is the cassiawind program with which all gateways start, OtherBinary the
+	// build that replaces it.
+	Binary, OtherBinary string
 	// Folder is where the settings and logs of the gateways are written.
 	Folder string
 	Seed   uint64
@@ -145,8 +146,10 @@
 	logFile                       *os.File
 
 	// restartMu is held while the process is stopped and started again. A
-	// concurrent second start would leave an unmanaged process behind.
+	// concurrent second start would leave an unmanaged process behind. It guards
+	// binary, the build that runs.
 	restartMu sync.Mutex
+	binary    string
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -267,14 +270,16 @@
 	if g.logFile, err = os.Create(filepath.Join(tb.options.Folder, fmt.Sprintf("gateway-%d.log", i))); err != nil {
 		return errors.Wrap(ErrStart, err.Error())
 	}
+	g.binary = tb.options.Binary
 	tb.gateways = append(tb.gateways, g)
-	return g.start(tb.options.Binary)
+	return g.start()
 }
 
-func (g *gateway) start(binary string) error {
+// start starts the process. The caller holds restartMu, or is the only one.
+func (g *gateway) start() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cmd := exec.Command(binary, "gateway", "--settings", g.settingsFile, "--options", g.optionsFile)
+	cmd := exec.Command(g.binary, "gateway", "--settings", g.settingsFile, "--options", g.optionsFile)
 	cmd.Stdout, cmd.Stderr = g.logFile, g.logFile
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(ErrStart, err.Error())
@@ -299,8 +304,8 @@
 }
 
 // restart stops a process with a signal, or with SIGKILL after stopTimeout, and
-// starts it again.
-func (tb *testbed) restart(g *gateway, s syscall.Signal) {
+// starts it again, or the other build in its place.
+func (tb *testbed) restart(g *gateway, s syscall.Signal, replace bool) {
 	g.restartMu.Lock()
 	defer g.restartMu.Unlock()
 	exited := g.signal(s)
@@ -310,7 +315,10 @@
 		<-g.signal(syscall.SIGKILL)
 	}
 	time.Sleep(restartDelay)
-	if err := g.start(tb.options.Binary); err != nil {
+	if replace {
+		g.binary = tb.otherBinary(g)
+	}
+	if err := g.start(); err != nil {
 		_, _ = fmt.Fprintln(g.logFile, err)
 	}
 }
@@ -426,6 +434,10 @@
 	case ServerLimits:
 		fault.limit, fault.limitedServer = namedLimit(e.Target), tb.backends[e.Target].id
 	}
+	if e.Kind == Replace {
+		// For the checks, a replacement is a planned stop.
+		fault.kind = PlannedStop
+	}
 	if e.Kind == WithdrawKey {
 		tb.withdrawKey(fault)
 		return
@@ -440,15 +452,15 @@
 	defer finish()
 	switch e.Kind {
 	case Kill:
-		tb.restart(tb.gateways[e.Target], syscall.SIGKILL)
+		tb.restart(tb.gateways[e.Target], syscall.SIGKILL, false)
 	case KillAll:
 		var restarts sync.WaitGroup
 		for _, g := range tb.gateways {
-			restarts.Go(func() { tb.restart(g, syscall.SIGKILL) })
+			restarts.Go(func() { tb.restart(g, syscall.SIGKILL, false) })
 		}
 		restarts.Wait()
-	case PlannedStop:
-		tb.restart(tb.gateways[e.Target], syscall.SIGTERM)
+	case PlannedStop, Replace:
+		tb.restart(tb.gateways[e.Target], syscall.SIGTERM, e.Kind == Replace)
 	case Pause:
 		tb.gateways[e.Target].signal(syscall.SIGSTOP)
 		time.Sleep(e.Duration)
