catalog: a VM that registers late after a restoration is used at once

What was seen: soak (gateways replaced in series, all killed twice, the store restored, one gateway cut from the store for 3.1 s): "the limited account ran 361 requests within 5s, 284 are allowed".

Cause, from the logs: gateway-0 could not write its registration again within 2.2 s of the restoration, so the others removed it. It registered 0.3 s later, with the same incarnation. For 8 s after a restoration such a row counts as the removed state that the copy still has: three gateways, gateway-0 among them, left it out and took gateway-1 for the owner of the account from 31.9 to 37.4 s, while gateway-3, which had been suspended, asked gateway-0.

Only a row of the copy can be a removed state, that is one up to the position of the first full read of the new era. What is written later is new. Backend servers are unchanged, since they repeat earlier writes.

Ruled out: different builds that choose different owners (both kinds of gateway, and all of one kind, were on either side).

Before: TestVMThatRegistersLateAfterARestorationIsUsedAtOnce failed. After: it passes, and so does its second half, a removed VM that the copy still has.

--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -213,3 +213,22 @@
 	require.Zero(t, c.RemoveExpired(until-1))
 	require.Equal(t, 1000, c.RemoveExpired(until))
 }
+
+// Guards against a VM that the others leave out for seconds: it could not write its
+// registration again in time, was removed, and what it then writes looks like the state
+// that was removed. Only a row of the copy may be such a state.
+func TestVMThatRegistersLateAfterARestorationIsUsedAtOnce(t *testing.T) {
+	c := loadedCatalog(t)
+	require.True(t, c.LoadVMs(0, 10, []RowChange[steering.VM]{vmChange(9, 3, false)}))
+	require.True(t, c.LoadVMs(time.Second, at(1, 20), nil))
+	removed := time.Second + ExpiryGracePeriod + RegistrationSpread(1)
+	require.Equal(t, 1, c.RemoveExpired(removed))
+	require.True(t, c.ApplyVM(removed, vmChange(at(1, 21), 3, false)), "it was written after the restoration")
+	require.Contains(t, c.BuildView(removed).VMs, "vm-1")
+
+	c = loadedCatalog(t)
+	require.True(t, c.LoadVMs(0, 10, []RowChange[steering.VM]{vmChange(9, 3, false)}))
+	require.True(t, c.ApplyVM(0, RowChange[steering.VM]{Key: "vm-1", Position: 12}))
+	require.True(t, c.LoadVMs(time.Second, at(1, 9), []RowChange[steering.VM]{vmChange(at(1, 9), 3, false)}))
+	require.NotContains(t, c.BuildView(time.Second).VMs, "vm-1", "a row of the copy does not bring a removed VM back")
+}
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -55,14 +55,18 @@
 	// newer, because a full read takes several pages.
 	version platform.Position
 	loaded  bool
+	// restoredAt is the position of the first full read of a new era; the rows of the copy
+	// are not newer.
+	restoredAt platform.Position
 	// missingUntil and outdatedUntil are how long rows are kept that a restored
 	// store lacks, or has in an older state.
 	missingUntil, outdatedUntil time.Duration
 	// unsettled is set while a row may be expired or outdated.
 	unsettled bool
 	// olderThan reports whether a value was written before the known one of the
-	// same row, which may have been removed since; nil if that cannot be told.
-	olderThan func(value, known *T, removed bool) bool
+	// same row, which may have been removed since; nil if that cannot be told. fromCopy
+	// is set for a row that a restored store has from its copy.
+	olderThan func(value, known *T, removed, fromCopy bool) bool
 	// writeSpread returns the time over which the writers of a number of lost rows
 	// spread their writes; nil if they write at once.
 	writeSpread func(rows int) time.Duration
@@ -74,7 +78,7 @@
 	onRemoved func(now time.Duration, key string)
 }
 
-func newTable[T any](olderThan func(value, known *T, removed bool) bool) table[T] {
+func newTable[T any](olderThan func(value, known *T, removed, fromCopy bool) bool) table[T] {
 	return table[T]{rows: make(map[string]*row[T]), olderThan: olderThan}
 }
 
@@ -87,14 +91,16 @@
 }
 
 // serverOlderThan is the order of the registrations of one backend server. A copy may
-// also contain the last state of a server that was removed since.
-func serverOlderThan(value, known *steering.Server, removed bool) bool {
+// also contain the last state of a server that was removed since, and servers repeat
+// earlier writes.
+func serverOlderThan(value, known *steering.Server, removed, _ bool) bool {
 	return value.OlderThan(known) || removed && !known.OlderThan(value)
 }
 
-// vmOlderThan is the order of the registrations of one VM, as far as it is known.
-func vmOlderThan(value, known *steering.VM, removed bool) bool {
-	return value.OlderThan(known) || removed && value.Incarnation == known.Incarnation
+// vmOlderThan is the order of the registrations of one VM, as far as it is known. A VM that
+// was removed and registers again writes what it wrote before.
+func vmOlderThan(value, known *steering.VM, removed, fromCopy bool) bool {
+	return value.OlderThan(known) || removed && fromCopy && value.Incarnation == known.Incarnation
 }
 
 // apply applies one change and reports whether it changed the row. A change of
@@ -120,7 +126,7 @@
 	if c.Unreadable {
 		return false
 	}
-	if t.isOutdated(now, r, c.Value) {
+	if t.isOutdated(now, r, c) {
 		r.outdated, r.expired, t.unsettled = c.Value, false, true
 		return false
 	}
@@ -136,11 +142,11 @@
 }
 
 // isOutdated reports whether a value of a restored store is older than the known one.
-func (t *table[T]) isOutdated(now time.Duration, r *row[T], value *T) bool {
-	if now >= t.outdatedUntil || t.olderThan == nil || value == nil || r.newest() == nil {
+func (t *table[T]) isOutdated(now time.Duration, r *row[T], c RowChange[T]) bool {
+	if now >= t.outdatedUntil || t.olderThan == nil || c.Value == nil || r.newest() == nil {
 		return false
 	}
-	return t.olderThan(value, r.newest(), r.value == nil)
+	return t.olderThan(c.Value, r.newest(), r.value == nil, c.Position <= t.restoredAt)
 }
 
 // load applies a full read that has all changes up to a position. It reports whether the
@@ -151,7 +157,7 @@
 	}
 	if t.loaded && version.Era() > t.version.Era() {
 		t.missingUntil = now + t.missingRowPeriod()
-		t.outdatedUntil = now + OutdatedRowPeriod
+		t.outdatedUntil, t.restoredAt = now+OutdatedRowPeriod, version
 	}
 	t.version, t.loaded = version, true
 	present := make(map[string]bool, len(rows))
