--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -88,6 +88,7 @@
 type testbed struct {
 	options      Options
 	store        *platformstore.Store
+	storeServer  *http.Server
 	storeProxies []*proxy
 	gateways     []*gateway
 	backends     []*backendServer
@@ -172,8 +173,8 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrStart, err.Error())
 	}
-	server := &http.Server{Handler: tb.store, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }()
+	tb.storeServer = &http.Server{Handler: tb.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = tb.storeServer.Serve(listener) }()
 	for i := range serverCount {
 		service := "desk"
 		if i >= serverCount/2 {
@@ -367,6 +368,7 @@
 		<-g.signal(syscall.SIGKILL)
 		_ = g.logFile.Close()
 	}
+	_ = tb.storeServer.Close()
 	for _, p := range tb.storeProxies {
 		p.close()
 	}
