ratelimit: the burst that a dead owner has granted is not admitted again on credit

Cause: 0.3 s after the owner fell silent each VM admits requests on credit, from a bucket that had filled up to its equal share of the whole burst, although the owner had granted that burst a moment before.

An owner now says with each grant how full its bucket is, in percent. A VM whose owner falls silent has, for its credit, its equal share of what was left then and what the rate has brought since. An account that stays within its rate keeps its credit; VMs that got no grant lately, and those that ask an owner of an earlier version, do as before.

Ruled out: a credit that each granted token lowers, which shuts out accounts whose callers use few VMs; initial tokens of the successor, 20% of the allowance, which are within it.

Before: TestBurstIsNotUsedAgainAfterTheDeathOfTheOwner failed ("3447" is not less than or equal to "3148.4"). After: passes.

--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -61,6 +61,14 @@
 
 func (b *Bucket) putBack(tokens float64) { b.tokens = min(b.capacity(), b.tokens+tokens) }
 
+// fill returns how full the bucket is, from 0 to 1.
+func (b *Bucket) fill() float64 {
+	if b.burst <= 0 {
+		return 0
+	}
+	return max(0, min(1, b.tokens/b.burst))
+}
+
 // Rate returns the current rate in requests per second.
 func (b *Bucket) Rate() float64 { return b.rate }
 
--- a/core/ratelimit/requester.go
+++ b/core/ratelimit/requester.go
@@ -25,6 +25,10 @@
 	// Settled is the credit that the owner has taken from its bucket, as in
 	// Request.Credit.
 	Settled uint64
+	// Fill is how full the owner's bucket is after the grant, from 0 to 1. It is valid only
+	// if HasFill is set.
+	Fill    float64
+	HasFill bool
 }
 
 // Requester takes tokens of one account on a VM that does not own it: from its
@@ -43,6 +47,11 @@
 	// answer, if isUnanswered is set.
 	unansweredSince time.Duration
 	isUnanswered    bool
+	// fill is how full the owner's bucket was when it last said so, at fillAt, if hasFill is
+	// set. It is used once, when the owner falls silent.
+	fill    float64
+	fillAt  time.Duration
+	hasFill bool
 }
 
 // How long a request waits for the owner of its account.
@@ -101,23 +110,42 @@
 // TakeCredit admits a request without a token of the owner if the credit allows it.
 // If not, wait is the time until it may. While the owner answers, if late, little
 // credit may be unsettled; otherwise, or without an owner, this VM uses its equal share
-// of the rate.
+// of the rate and of what was left of the burst.
 func (r *Requester) TakeCredit(now time.Duration) (ok bool, wait time.Duration) {
 	ownerIsSilent := r.owner == "" || r.isUnanswered && now-r.unansweredSince >= ownerSilence
 	if !ownerIsSilent && float64(r.total-r.settled) >= max(1, r.limits.Unsettled) {
 		return false, ownerSilence
 	}
+	if ownerIsSilent {
+		r.limitToFill(now)
+	}
 	if ok, wait = r.credit.Take(now); ok {
 		r.total++
 	}
 	return ok, wait
 }
 
+// limitToFill lowers the credit to this VM's equal share of the tokens that the owner had
+// when it last answered, and what has come in since. The burst that the owner has granted
+// must not be used again.
+func (r *Requester) limitToFill(now time.Duration) {
+	if !r.hasFill {
+		return
+	}
+	r.hasFill = false
+	left := r.fill*r.limits.Burst + r.limits.Rate*(now-r.fillAt).Seconds()
+	r.credit.refill(now)
+	r.credit.tokens = min(r.credit.tokens, left)
+}
+
 // HandleGrant adds the tokens of a grant to the cache. late is set if no request
 // waits for it any more; its tokens then first replace credit of which the owner
 // does not know.
 func (r *Requester) HandleGrant(now time.Duration, g Grant, late bool) {
 	r.isUnanswered = false
+	if g.HasFill {
+		r.fill, r.fillAt, r.hasFill = g.Fill, now, true
+	}
 	if g.Settled > r.settled && g.Settled <= r.total {
 		if g.Tokens > 0 {
 			// An owner without tokens has not recovered the credit yet.
@@ -203,7 +231,7 @@
 	b.tokens = max(b.tokens-float64(due), min(b.tokens, -b.rate*maxOverdraft.Seconds()))
 	b.use.add(now, float64(r.Used))
 	tokens, wait := b.Grant(now, r.Want)
-	return Grant{Tokens: tokens, Wait: wait, Settled: r.Credit}
+	return Grant{Tokens: tokens, Wait: wait, Settled: r.Credit, Fill: b.fill(), HasFill: true}
 }
 
 // Take takes a token for a request of the owner's own callers.
--- a/core/ratelimit/requester_test.go
+++ b/core/ratelimit/requester_test.go
@@ -215,3 +215,58 @@
 	}
 	require.GreaterOrEqual(t, admitted, 190, "20 requests a second, below the share of 26")
 }
+
+// Guards against an account that gets its burst twice: the owner grants it, dies, and the
+// other VMs admit it again on credit.
+func TestBurstIsNotUsedAgainAfterTheDeathOfTheOwner(t *testing.T) {
+	const rate, burst, vms = 474.0, 474.0, 10
+	allowance := Allowance{Tolerance: 0.1, Margin: 20, Window: 5 * time.Second}
+	for name, busy := range map[string]int{"all VMs are busy": vms, "three are": 3} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Minute
+			owner := allowance.NewBucket(0, rate, burst, 1)
+			var requesters []*Requester
+			for range vms {
+				requesters = append(requesters, NewRequester(0, allowance.CreditLimits(rate, burst, vms)))
+			}
+			dead, successor := start+1100*time.Millisecond, start+1900*time.Millisecond
+			admitted := 0
+			for now := start; now < start+5*time.Second; now += time.Millisecond {
+				switch {
+				case now == dead:
+					owner = nil
+				case now == successor:
+					owner = allowance.NewBucket(now, rate, burst, 1)
+				}
+				// 4,000 requests a second.
+				for i := range 4 {
+					vm := (int(now/time.Millisecond)*4 + i) % busy
+					r := requesters[vm]
+					if r.Take(now) {
+						admitted++
+						continue
+					}
+					ownerName := "first"
+					if now >= successor {
+						ownerName = "second"
+					}
+					request := r.Request(now, ownerName)
+					if owner == nil {
+						if ok, _ := r.TakeCredit(now); ok {
+							admitted++
+						}
+						continue
+					}
+					g := owner.GrantTo(now, RequesterID{Address: string(rune('a' + vm))}, request)
+					if g.Tokens > 0 {
+						admitted++
+						g.Tokens--
+					}
+					r.HandleGrant(now, g, false)
+				}
+			}
+			require.LessOrEqual(t, float64(admitted), (rate*5+burst)*1.1+20)
+			require.Greater(t, float64(admitted), rate*4.2+burst, "the rate is used")
+		})
+	}
+}
--- a/entry/gateway/tokens.go
+++ b/entry/gateway/tokens.go
@@ -32,10 +32,26 @@
 	Settled uint64 `json:"settled,omitempty"`
 	// Pending announces a later answer.
 	Pending bool `json:"pending,omitempty"`
+	// FillPercent is how full the owner's bucket is. VMs of earlier versions do not say.
+	FillPercent *int `json:"fill,omitempty"`
 }
 
 func newTokenGrant(id uint64, g ratelimit.Grant) tokenGrant {
-	return tokenGrant{ID: id, Tokens: g.Tokens, WaitMS: g.Wait.Milliseconds(), Settled: g.Settled, Pending: g.Pending}
+	message := tokenGrant{ID: id, Tokens: g.Tokens, WaitMS: g.Wait.Milliseconds(), Settled: g.Settled, Pending: g.Pending}
+	if g.HasFill {
+		percent := int(100 * g.Fill)
+		message.FillPercent = &percent
+	}
+	return message
+}
+
+// grant returns the grant that the message brings.
+func (m tokenGrant) grant() ratelimit.Grant {
+	g := ratelimit.Grant{Tokens: m.Tokens, Wait: time.Duration(m.WaitMS) * time.Millisecond, Settled: m.Settled, Pending: m.Pending}
+	if m.FillPercent != nil {
+		g.Fill, g.HasFill = float64(*m.FillPercent)/100, true
+	}
+	return g
 }
 
 // replyCapacity is the number of answers to one token request: one may announce another.
@@ -199,7 +215,7 @@
 	if p == nil {
 		return
 	}
-	g := ratelimit.Grant{Tokens: message.Tokens, Wait: time.Duration(message.WaitMS) * time.Millisecond, Settled: message.Settled, Pending: message.Pending}
+	g := message.grant()
 	if g.Pending {
 		if p.reply != nil && len(p.reply) == 0 {
 			p.reply <- g
