exchange: a new hub removes no registrations of live VMs

Cause: a hub removed each VM of which it had no report, once the hub itself had run for 90 s. One that has just become the hub has no report of anybody; a VM that registered again after its removal had its report dropped with the roster and was removed at once.

A hub now counts the 90 s from when it began to expect reports of a VM: since it has sent digests without a gap, and the VM has been in the roster.

Ruled out: a majority of the roster as a condition, since any number of VMs may be lost for good and their registrations must go.

Before: TestNewHubRemovesNoLiveVMs failed ("both hubs are lost: vm-04 removes vm-01"). After: it passes, also for hubs that were suspended and for VMs that register late. TestRegistrationsOfSilentVMsStay passes unchanged.

--- a/core/exchange/digests.go
+++ b/core/exchange/digests.go
@@ -58,6 +58,7 @@
 // group leader. They differ only in what they acknowledge.
 func (m *Machine) Digests(now time.Duration) map[string]Digest {
 	timeout := silenceTimeout(len(m.roster))
+	m.awaitReports(now)
 	m.seq++
 	base := Digest{
 		Hub: m.self, Incarnation: m.incarnation, Seq: m.seq, RosterSize: m.RosterSize(), Settled: now-m.started > timeout,
@@ -143,15 +144,40 @@
 	}
 }
 
-// RemovableVMs returns the VMs whose registrations may be removed from the store.
-// It returns none unless this VM sends the digests and has run for RemovalTimeout.
+// awaitReports records that this VM, which sends digests, expects a report of each VM from
+// now on, unless it did so before.
+func (m *Machine) awaitReports(now time.Duration) {
+	if m.hasMissedReports(now) {
+		clear(m.awaitedSince)
+	}
+	m.digestsSentAt = now
+	for _, vm := range m.roster {
+		if _, awaited := m.awaitedSince[vm]; !awaited {
+			m.awaitedSince[vm] = now
+		}
+	}
+}
+
+// hasMissedReports reports whether this VM has not sent digests for so long, because another
+// hub did or the process was suspended, that it has missed reports.
+func (m *Machine) hasMissedReports(now time.Duration) bool {
+	return now-m.digestsSentAt > silenceTimeout(len(m.roster))
+}
+
+// RemovableVMs returns the VMs whose registrations may be removed from the store: those of
+// which this VM, as the hub that sends the digests, has expected a report for
+// RemovalTimeout, and got none.
 func (m *Machine) RemovableVMs(now time.Duration) []string {
-	if !m.SendsDigests(now) || now-m.started < RemovalTimeout {
+	if !m.SendsDigests(now) || m.hasMissedReports(now) {
 		return nil
 	}
 	var removable []string
 	for _, vm := range m.roster {
-		if known := m.receivedReports[vm]; vm != m.self && (known == nil || now-known.lastSeenAt > RemovalTimeout) {
+		since, awaited := m.awaitedSince[vm]
+		if known := m.receivedReports[vm]; known != nil {
+			since = max(since, known.lastSeenAt)
+		}
+		if vm != m.self && awaited && now-since > RemovalTimeout {
 			removable = append(removable, vm)
 		}
 	}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -127,7 +127,11 @@
 	// sentReports holds the newest reports of this VM by sequence number.
 	sentReports     map[uint64]sentReport
 	receivedReports map[string]*receivedReport
-	heartbeats      map[string]*receivedHeartbeat
+	// awaitedSince is when this VM, as the hub that sends digests, began to expect reports
+	// of each VM of the roster. It sent the last digests at digestsSentAt.
+	awaitedSince  map[string]time.Duration
+	digestsSentAt time.Duration
+	heartbeats    map[string]*receivedHeartbeat
 	// groupReports holds those received from group leaders, sentGroupReports the
 	// members of those that this VM sent as a leader, by sequence number.
 	groupReports     map[string]*receivedGroupReport
@@ -159,7 +163,7 @@
 func New(self string, incarnation int64, now time.Duration) *Machine {
 	return &Machine{
 		self: self, incarnation: incarnation, started: now, sentReports: make(map[uint64]sentReport),
-		receivedReports: make(map[string]*receivedReport), heartbeats: make(map[string]*receivedHeartbeat), regionOf: make(map[string]string), ownerWeightOf: make(map[string]float64),
+		receivedReports: make(map[string]*receivedReport), awaitedSince: make(map[string]time.Duration), heartbeats: make(map[string]*receivedHeartbeat), regionOf: make(map[string]string), ownerWeightOf: make(map[string]float64),
 		lastTokenRequestAt: make(map[string]time.Duration), owners: make(map[ownerKey]string),
 		groupOf: make(map[string]groupKey), groupReports: make(map[string]*receivedGroupReport), sentGroupReports: make(map[uint64]map[string]MemberStatus),
 		limits: serverlimit.New(), suspects: poison.New(),
@@ -191,6 +195,7 @@
 			delete(m.receivedReports, vm)
 		}
 	}
+	maps.DeleteFunc(m.awaitedSince, func(vm string, _ time.Duration) bool { return !inRoster[vm] })
 	for vm := range m.heartbeats {
 		if !inRoster[vm] {
 			delete(m.heartbeats, vm)
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -339,6 +339,53 @@
 	require.Equal(t, []string{victim}, f.vms[firstHub].RemovableVMs(f.now))
 }
 
+// Guards against a VM that becomes the hub after both hubs were lost, has no report of
+// anybody yet, and removes the registrations of live VMs; and against one that was
+// suspended, or finds a VM that has just registered.
+func TestNewHubRemovesNoLiveVMs(t *testing.T) {
+	f := newFleet(t, 6)
+	for f.now < RemovalTimeout+10*time.Second {
+		f.round()
+	}
+	requireNoneRemovable := func(message string) {
+		for name, m := range f.vms {
+			if !f.stopped[name] {
+				for _, vm := range m.RemovableVMs(f.now) {
+					require.True(t, f.stopped[vm], "%s: %s removes %s", message, name, vm)
+				}
+			}
+		}
+	}
+	first := f.vms[f.names()[0]].Hubs(f.now)
+	for _, hub := range first {
+		f.stopped[hub] = true
+	}
+	for range 40 {
+		f.round()
+		requireNoneRemovable("both hubs are lost")
+	}
+	for _, hub := range first {
+		f.stopped[hub] = false
+	}
+	f.rounds(20)
+	f.now += 2 * RemovalTimeout
+	requireNoneRemovable("all were suspended")
+	f.rounds(2)
+	requireNoneRemovable("all were suspended")
+
+	added := Member{Name: "vm-99", Region: "vm-99", Weight: 1}
+	f.roster = append(f.roster, added)
+	f.vms[added.Name] = New(added.Name, 1, f.now)
+	for _, m := range f.vms {
+		m.SetRoster(f.roster)
+	}
+	requireNoneRemovable("a VM was added")
+	for range 10 {
+		f.round()
+		requireNoneRemovable("a VM was added")
+	}
+}
+
 // Guards against two VMs of a region owning the same account, against one owner
 // for all accounts, and against an owner that has failed.
 func TestOneVMOwnsAnAccount(t *testing.T) {
