bodies, ingress, upstream: long bodies take little more memory than their length

Cause: the body was read with io.ReadAll, which keeps old and new copies while it grows, and copied once more, behind the head, for each attempt; the heap may grow by half before it is collected.

A body with an announced length is read into memory of that length, which grows as bytes arrive, and sent without a copy. The collector works harder from 70% of memory_mb on (self.limits.memory_mb, optional).

Ruled out: memory for the announced length at once, since a caller or a server may not send it.

--- a/cassiawind/gateway.go
+++ b/cassiawind/gateway.go
@@ -19,6 +19,10 @@
 // megabytes.
 const gatewayGCPercent = 50
 
+// gatewayMemoryShare is the share of the process's memory from which on garbage is collected
+// more often. The rest is for what the collector does not manage.
+const gatewayMemoryShare = 0.7
+
 func gatewayCommand() command {
 	sub := newSubcommand("gateway", "steers requests on the users' platform until SIGTERM or SIGINT",
 		adapter.SettingsVariable+"=/etc/cassiawind/local.json cassiawind gateway")
@@ -53,6 +57,9 @@
 		return errors.Wrap(ErrUsage, err.Error())
 	}
 	debug.SetGCPercent(gatewayGCPercent)
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(gatewayMemoryShare * settings.MemoryMB * 1e6))
+	}
 	log, flush := eventlog.New(os.Stdout)
 	defer flush()
 	node := gateway.New(settings, log)
--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 const (
@@ -392,7 +394,7 @@
 			return nil, 0, err
 		}
 	}
-	body, err := io.ReadAll(&bodyCountingReader{c.server, r, io.LimitReader(r.Request.Body, limits.MaxBodyBytes+1)})
+	body, err := bodies.Read(&bodyCountingReader{c.server, r, io.LimitReader(r.Request.Body, limits.MaxBodyBytes+1)}, r.ContentLength)
 	switch {
 	case errors.Is(err, errBodyMemoryFull):
 		c.releaseBody(r)
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 const (
@@ -16,9 +18,6 @@
 	// maxBodyMemoryBytes bounds the bodies that are being read at the same time. The
 	// smallest VMs have three times as much memory.
 	maxBodyMemoryBytes = 64 << 20
-	// maxAllocatedBytes bounds the memory that is allocated for a body because of its
-	// announced length. The rest is allocated as bytes arrive.
-	maxAllocatedBytes = 1 << 20
 )
 
 // unlimited is the limit of a headLimitReader while no head is being read.
@@ -87,15 +86,7 @@
 	}
 	reader := &bodyReader{r: r.Body, memory: memory}
 	defer reader.release()
-	if r.ContentLength > 0 && r.ContentLength <= maxAllocatedBytes {
-		if err := reader.reserve(r.ContentLength); err != nil {
-			return nil, err
-		}
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(reader, maxResponseBytes+1))
+	body, err := bodies.Read(io.LimitReader(reader, maxResponseBytes+1), r.ContentLength)
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLarge
 	}
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -176,11 +176,11 @@
 	buf := bufferPool.Get().(*bytes.Buffer)
 	buf.Reset()
 	writeHead(buf, call)
-	buf.Write(call.Body)
 	trace.Sent = true
-	if buf.Len() > maxPooledBufferBytes {
+	if buf.Len()+len(call.Body) > maxPooledBufferBytes {
 		return c.roundTripLongBody(call, buf.Bytes())
 	}
+	buf.Write(call.Body)
 	n, err := c.Write(buf.Bytes())
 	bufferPool.Put(buf)
 	if err != nil && n == 0 {
@@ -193,12 +193,15 @@
 // roundTripLongBody reads the response while it writes the request: a server
 // may answer before it has read a long body. The rest of the body must not
 // follow on a reused connection, so the connection is kept only if all of it
-// was written before the response ended.
-func (c *conn) roundTripLongBody(call *Call, request []byte) (*Response, bool, error) {
+// was written before the response ended. The body is not copied behind the head.
+func (c *conn) roundTripLongBody(call *Call, head []byte) (*Response, bool, error) {
 	written := make(chan bool, 1)
 	go func() {
-		n, _ := c.Write(request)
-		written <- n == len(request)
+		_, err := c.Write(head)
+		if err == nil {
+			_, err = c.Write(call.Body)
+		}
+		written <- err == nil
 	}()
 	response, keep, err := c.readMatching(call)
 	select {
