upstream, gateway: bodies count as memory until the caller has been answered

Cause: the 64 MiB for the bodies of responses bounded those that were being read. A body that had been read counted no longer, while it waited for up to 10 s for its client.

A body now counts until its caller was answered (Response.Release, ingress.Response.Done). Downloads beyond the bound get 502 at once, as those of bodies without end did.

Open: with 64 MiB two bodies of 24 MiB fit at a time. To serve more, bodies would have to be passed on while they are read.

TestEndlessBodiesShareTheirMemory releases the responses that it gets, and expects nothing to be left, as before.

--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -23,6 +23,9 @@
 		Host: server.Address, Header: http.Header{}, Idempotent: true, Deadline: time.Now().Add(probeTimeout),
 	})
 	n.metrics.Count(1, "probes")
+	if err == nil {
+		defer response.Release()
+	}
 	if err == nil && (response.ServerHeaders.InstanceID == server.ID || response.ServerHeaders.InstanceID == "") {
 		n.mu.Lock()
 		n.recordNotice(n.now(), server, response)
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -155,6 +155,7 @@
 	if err != nil {
 		return r.afterRelayFailure(ctx, err)
 	}
+	r.received = append(r.received, serverResponse)
 	var result relayResult
 	if err := json.Unmarshal([]byte(serverResponse.Header.Get(relayResponseHeader)), &result); err != nil {
 		return r.afterRelayFailure(ctx, &upstream.CallError{Kind: upstream.ErrMalformed, Cause: err})
--- a/entry/gateway/relayserver.go
+++ b/entry/gateway/relayserver.go
@@ -70,6 +70,7 @@
 	}
 	n.metrics.Count(1, "relay_served", string(result.Refusal))
 	n.setRelayResult(response, result)
+	response.Done = r.releaseBodies
 	return response
 }
 
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -132,6 +132,9 @@
 	// is why no server got the request.
 	answered    bool
 	rejectedFor placement.Reason
+	// received are the responses whose bodies are released once the caller has been
+	// answered.
+	received []*upstream.Response
 }
 
 // Serve implements ingress.Handler.
@@ -140,9 +143,18 @@
 	r := &request{node: n, view: n.view.Load(), incoming: in}
 	response := r.serve(ctx)
 	n.recordRequest(r, response)
+	response.Done = r.releaseBodies
 	return response
 }
 
+// releaseBodies releases the bodies of the responses to the request.
+func (r *request) releaseBodies() {
+	for _, response := range r.received {
+		response.Release()
+	}
+	r.received = nil
+}
+
 func (r *request) serve(ctx context.Context) *ingress.Response {
 	var err error
 	if r.callerHeaders, err = adapter.ReadCallerHeaders(r.incoming.Header); err != nil {
@@ -437,7 +449,11 @@
 		ctx, cancel = r.node.interruptible(ctx)
 		defer cancel()
 	}
-	return r.node.pool.Do(ctx, r.newCall(choice))
+	response, trace, err := r.node.pool.Do(ctx, r.newCall(choice))
+	if response != nil {
+		r.received = append(r.received, response)
+	}
+	return response, trace, err
 }
 
 // reportResult passes the result of an attempt to the picker, the retry budget and the
--- a/entry/gateway/request_test.go
+++ b/entry/gateway/request_test.go
@@ -492,3 +492,26 @@
 		})
 	}
 }
+
+// Guards against bodies that count as in use after the caller was answered, or no longer
+// while the answer waits for the caller.
+func TestBodiesAreInUseUntilTheCallerIsAnswered(t *testing.T) {
+	b := &standInBackends{handlers: onAllServers(respondWith(200, strings.Repeat("x", 8<<20)))}
+	runInVirtualTime(t, b, testConfig(), func(_ *Node, serve func(*ingress.Request) *ingress.Response) {
+		for range 20 {
+			response := serve(newRequest("GET", "/look/"))
+			require.Equal(t, 200, response.Status)
+			response.Done()
+		}
+		var waiting []*ingress.Response
+		for range 8 {
+			waiting = append(waiting, serve(newRequest("GET", "/look/")))
+		}
+		require.Equal(t, 502, serve(newRequest("GET", "/look/")).Status)
+		for _, response := range waiting {
+			require.Equal(t, 200, response.Status)
+			response.Done()
+		}
+		require.Equal(t, 200, serve(newRequest("GET", "/look/")).Status)
+	})
+}
--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -67,6 +67,8 @@
 	Close bool
 	// Abort ends the connection without a response.
 	Abort bool
+	// Done is called once the body is no longer in use, if it is set.
+	Done func()
 }
 
 // conn is one caller's connection.
@@ -490,6 +492,9 @@
 			return
 		}
 		response := serve()
+		if response.Done != nil {
+			defer response.Done()
+		}
 		<-previous
 		c.write(r, response)
 	}()
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -15,8 +15,8 @@
 	maxHeadBytes = 64 << 10
 	// maxResponseBytes bounds the body of a response.
 	maxResponseBytes = 32 << 20
-	// maxBodyMemoryBytes bounds the bodies that are being read at the same time. The
-	// smallest VMs have three times as much memory.
+	// maxBodyMemoryBytes bounds the bodies that are being read, or were read and have not
+	// been released, at the same time. The smallest VMs have three times as much memory.
 	maxBodyMemoryBytes = 64 << 20
 )
 
@@ -44,7 +44,7 @@
 	return n, err
 }
 
-// bodyMemory counts the bytes of the bodies that are being read.
+// bodyMemory counts the bytes of the bodies that are being read or were not released.
 type bodyMemory struct{ bytes atomic.Int64 }
 
 // bodyReader reads one body and counts its bytes.
@@ -54,41 +54,39 @@
 	reserved int64
 }
 
-// reserve counts bytes in advance.
-func (b *bodyReader) reserve(n int64) error {
-	if b.memory.bytes.Add(n) > maxBodyMemoryBytes {
-		b.memory.bytes.Add(-n)
-		return errBodyMemoryFull
-	}
-	b.reserved += n
-	return nil
-}
-
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if reserveErr := b.reserve(int64(n)); reserveErr != nil {
-		return 0, reserveErr
+	if b.memory.bytes.Add(int64(n)) > maxBodyMemoryBytes {
+		b.memory.bytes.Add(-int64(n))
+		return 0, errBodyMemoryFull
 	}
+	b.reserved += int64(n)
 	return n, err
 }
 
 // release ends the count of the body.
-func (b *bodyReader) release() { b.memory.bytes.Add(-b.reserved) }
+func (b *bodyReader) release() {
+	b.memory.bytes.Add(-b.reserved)
+	b.reserved = 0
+}
 
-// readBody reads the body of a response.
-func readBody(r *http.Response, memory *bodyMemory) ([]byte, error) {
+// readBody reads the body of a response. The bytes of the returned body are counted until
+// the reader is released.
+func readBody(r *http.Response, memory *bodyMemory) ([]byte, *bodyReader, error) {
+	reader := &bodyReader{r: r.Body, memory: memory}
 	if r.ContentLength == 0 || r.Request.Method == http.MethodHead {
-		return nil, nil
+		return nil, reader, nil
 	}
 	if r.ContentLength > maxResponseBytes {
-		return nil, errResponseTooLarge
+		return nil, reader, errResponseTooLarge
 	}
-	reader := &bodyReader{r: r.Body, memory: memory}
-	defer reader.release()
 	body, err := bodies.Read(io.LimitReader(reader, maxResponseBytes+1), r.ContentLength)
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLarge
 	}
-	return body, err
+	if err != nil {
+		reader.release()
+	}
+	return body, reader, err
 }
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -66,8 +66,14 @@
 	Header        http.Header
 	Body          []byte
 	ServerHeaders adapter.ServerHeaders
+	// reader counts the bytes of the body.
+	reader *bodyReader
 }
 
+// Release tells that the body is no longer in use. Bodies that are not released take from
+// the memory of others.
+func (r *Response) Release() { r.reader.release() }
+
 // Trace records how a call was made.
 type Trace struct {
 	// ConnectTime is the time that opening a connection took; 0 if one was
@@ -262,17 +268,19 @@
 		return nil, false, c.badResponseError(err)
 	}
 	serverHeaders := adapter.ReadServerHeaders(httpResponse.StatusCode, httpResponse.Header)
-	body, err := readBody(httpResponse, c.memory)
+	body, reader, err := readBody(httpResponse, c.memory)
 	if err != nil {
 		return nil, false, c.badResponseError(err)
 	}
 	if !c.belongsTo(call, serverHeaders) {
+		reader.release()
 		if serverHeaders.AttemptID != "" && !httpResponse.Close && httpResponse.ContentLength >= 0 {
 			return nil, false, nil
 		}
 		return nil, false, &CallError{ErrMalformed, errOtherRequest}
 	}
-	return &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, ServerHeaders: serverHeaders}, !httpResponse.Close && isSelfDelimited(httpResponse), nil
+	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, ServerHeaders: serverHeaders, reader: reader}
+	return response, !httpResponse.Close && isSelfDelimited(httpResponse), nil
 }
 
 // belongsTo reports whether a response is the one to a call. A rejection without an id is
--- a/entry/upstream/endless_test.go
+++ b/entry/upstream/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -119,9 +120,13 @@
 				var callers sync.WaitGroup
 				for range calls {
 					callers.Go(func() {
-						if _, _, err := p.Do(context.Background(), newCall("a")); errors.Is(err, errBodyMemoryFull) {
+						response, _, err := p.Do(context.Background(), newCall("a"))
+						if errors.Is(err, errBodyMemoryFull) {
 							rejected.Add(1)
 						}
+						if err == nil {
+							response.Release()
+						}
 					})
 				}
 				time.Sleep(time.Second)
@@ -135,3 +140,37 @@
 		})
 	}
 }
+
+// Guards against bodies that wait for callers on slow links, which take memory as well:
+// what has been read counts until it is released.
+func TestBodiesCountUntilTheyAreReleased(t *testing.T) {
+	const size = 24 << 20
+	script := func(c net.Conn, br *bufio.Reader) {
+		for id := readID(br); id != ""; id = readID(br) {
+			write(c, "HTTP/1.1 200 OK\nX-Attempt-Id: "+id+fmt.Sprintf("\nContent-Length: %d\n\n", size))
+			for sent := 0; sent < size; sent += 64 << 10 {
+				if _, err := io.WriteString(c, strings.Repeat("x", 64<<10)); err != nil {
+					return
+				}
+			}
+		}
+	}
+	runInVirtualTime(t, func(p *Pool, _ *scriptedServer) {
+		var responses []*Response
+		for range maxBodyMemoryBytes / size {
+			response, _, err := p.Do(context.Background(), newCall("a"))
+			require.NoError(t, err)
+			require.Len(t, response.Body, size)
+			responses = append(responses, response)
+		}
+		_, _, err := p.Do(context.Background(), newCall("a"))
+		require.ErrorIs(t, err, errBodyMemoryFull)
+		responses[0].Release()
+		responses[0].Release()
+		response, _, err := p.Do(context.Background(), newCall("a"))
+		require.NoError(t, err)
+		response.Release()
+		responses[1].Release()
+		require.Zero(t, p.bodyMemory.bytes.Load())
+	}, script, script, script, script)
+}
