gateway: a planned stop counts from when the signal may have come

It counted its 6 s from waking and was killed 6 s after the signal.

The process reads the time since the start of the machine (CLOCK_BOOTTIME, which goes on while a machine is suspended) with each tick. A gap of 1 s or more that ended up to 1 s before the signal is handled counts as part of the grace period: requests that no longer fit get 503, the others are answered.

--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -43,18 +43,26 @@
 	return elapsed > leaveNoticeDelay && time.Until(deadline) > remaining
 }
 
-// beginStop records that the process got the signal to stop.
-func (n *Node) beginStop() {
-	n.stoppingSince.Store(int64(n.now()))
+// beginStop records that the process got the signal to stop. It returns when that may have
+// been at the earliest.
+func (n *Node) beginStop() time.Time {
+	uptime := n.uptime()
+	n.mu.Lock()
+	waited := uptime - n.standstill.earliestSignal(uptime)
+	n.mu.Unlock()
+	n.stoppingSince.Store(int64(n.now() - waited))
 	n.stopping.Store(true)
+	if waited > 0 {
+		n.log.Info("signal may have waited for the process", "for", waited.String())
+	}
+	return time.Now().Add(-waited)
 }
 
 // drain performs a planned stop, which cuts off no request. The directory no
 // longer returns this VM to callers, requests that still arrive are served, and
 // the process ends once no more arrive or the grace period is over.
 func (n *Node) drain(ctx context.Context) {
-	start := time.Now()
-	n.beginStop()
+	start := n.beginStop()
 	n.log.Info("stopping", "vm", n.settings.VM, "grace", n.bounds.Load().GracePeriod.String())
 	n.ingress.Drain()
 	n.relayServer.Drain()
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -76,9 +76,11 @@
 	linksCtx atomic.Pointer[context.Context]
 	view     atomic.Pointer[catalog.View]
 	stopping atomic.Bool
-	// stoppingSince is when the process got the signal to stop, as a
-	// time.Duration since its start.
+	// stoppingSince is when the process may have got the signal to stop at the earliest,
+	// as a time.Duration since its start; it is negative if the process stood still since.
 	stoppingSince atomic.Int64
+	// uptime goes on while the machine is suspended.
+	uptime func() time.Duration
 	// operatorUnavailable is set while the operator's rows cannot be read.
 	operatorUnavailable atomic.Bool
 	// serversUnavailable is set while the registrations of backend servers
@@ -111,10 +113,12 @@
 	sendDatagram func(address string, datagram []byte) error
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	catalog *catalog.Catalog
-	picker  *placement.Picker
-	peers   *exchange.Machine
+	mu sync.Mutex
+	// standstill tells whether the process stood still.
+	standstill standstill
+	catalog    *catalog.Catalog
+	picker     *placement.Picker
+	peers      *exchange.Machine
 	// buckets are those of the accounts that this VM owns in its region,
 	// requesters those through which it gets tokens of each account.
 	buckets    map[string]*ratelimit.OwnerBucket
@@ -205,7 +209,7 @@
 	if backendDialer == nil {
 		backendDialer = networkDialer{n}
 	}
-	n.sendDatagram, n.quarantineRows = n.sendUDP, n.store
+	n.sendDatagram, n.quarantineRows, n.uptime = n.sendUDP, n.store, n.readUptime
 	n.backendDialer, n.pool, n.relayPool = backendDialer, upstream.NewPool(backendDialer), upstream.NewPool(backendDialer)
 	n.bounds.Store(&settings.Bounds)
 	options := DefaultOptions()
@@ -376,6 +380,7 @@
 		}
 		now := n.now()
 		n.mu.Lock()
+		n.standstill.tick(n.uptime())
 		if removed := n.catalog.RemoveExpired(now); removed > 0 {
 			n.log.Info("rows that were not written again were removed", "rows", removed)
 			n.publishView(now)
--- a/entry/gateway/request_test.go
+++ b/entry/gateway/request_test.go
@@ -144,6 +144,7 @@
 // region and one of another.
 func newTestNode(b *standInBackends, config *steering.Config) *Node {
 	n := newNode(testSettings(), logr.Discard(), b, nil)
+	n.uptime = func() time.Duration { return n.now() + time.Second }
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.catalog.ApplyConfig(config)
