placement: crashed servers are no witnesses of lost links

Cause, from the reasons of the rejections: three servers had crashed, and the check of the links opened connections to just these. All VMs choose the same servers, so that none could relay. A VM that takes its links for lost also blames no request for a crash, so that a request which crashes servers goes on.

Servers that are known not to be reached now come last among those that a check tries. When the links are lost, others fail as well.

Before: TestCrashedServersAreNoWitnessesOfLostLinks failed. After: it passes.

--- a/core/placement/links.go
+++ b/core/placement/links.go
@@ -20,7 +20,9 @@
 )
 
 // CheckTargets returns the servers to which connections are opened in order to check the
-// links: in different failure domains, the own one first, and others in each round.
+// links: in different failure domains, the own one first, and others in each round. Servers
+// that are known not to be reached come last, because a server that has crashed says nothing
+// about the links.
 func (p *Picker) CheckTargets(ownFailureDomain string, round uint64) []*steering.Server {
 	best := make(map[string]*server)
 	for _, s := range p.servers {
@@ -28,7 +30,8 @@
 		if s.registration.Expired {
 			continue
 		}
-		if other := best[domain]; other == nil || checkRank(s, round) > checkRank(other, round) {
+		other := best[domain]
+		if other == nil || other.unreachable && !s.unreachable || other.unreachable == s.unreachable && checkRank(s, round) > checkRank(other, round) {
 			best[domain] = s
 		}
 	}
@@ -37,6 +40,12 @@
 		targets = append(targets, s)
 	}
 	slices.SortFunc(targets, func(a, b *server) int {
+		if a.unreachable != b.unreachable {
+			if b.unreachable {
+				return -1
+			}
+			return 1
+		}
 		if aIsOwn := a.registration.FailureDomain == ownFailureDomain; aIsOwn != (b.registration.FailureDomain == ownFailureDomain) {
 			if aIsOwn {
 				return -1
--- a/core/placement/picker_test.go
+++ b/core/placement/picker_test.go
@@ -615,3 +615,36 @@
 	require.Empty(t, p.DueProbes(4*time.Second), "it has shown that it is alive")
 	require.NotNil(t, p.Pick(4*time.Second, testRequest(0)).Server)
 }
+
+// Guards against a VM that takes three crashed servers for lost links, rejects its requests
+// and blames no request for the crashes: connections are opened to servers that are not
+// known to be unreachable.
+func TestCrashedServersAreNoWitnessesOfLostLinks(t *testing.T) {
+	servers := testServers("north", 9, 8)
+	for i, s := range servers {
+		s.FailureDomain = fmt.Sprint("domain-", i%3)
+	}
+	p := newTestPicker(servers)
+	crash := func(s *steering.Server) {
+		choice := Choice{Server: s}
+		p.RequestStarted(0, testRequest(0), choice)
+		p.RequestFinished(0, testRequest(0), choice, Unreachable, 0)
+	}
+	crashed := map[string]bool{}
+	for _, s := range servers[:7] {
+		crash(s)
+		crashed[s.ID] = true
+		for round := range uint64(50) {
+			targets := p.CheckTargets("domain-0", round)
+			require.Len(t, targets, 3)
+			require.False(t, crashed[targets[0].ID], "with %d crashed servers", len(crashed))
+			witnesses := 0
+			for _, target := range targets {
+				if !crashed[target.ID] {
+					witnesses++
+				}
+			}
+			require.Equal(t, min(3, 9-len(crashed)), witnesses, "with %d crashed servers", len(crashed))
+		}
+	}
+}
