--- a/core/placement/links.go
+++ b/core/placement/links.go
@@ -20,47 +20,57 @@
 )
 
 // CheckTargets returns the servers to which connections are opened in order to check the
-// links: in different failure domains, the own one first, and others in each round. Servers
-// that are known not to be reached come last, because a server that has crashed says nothing
-// about the links.
+// links: in different failure domains as far as there are enough, the own one first, and
+// others in each round. Servers that are known not to be reached come last, because a server
+// that has crashed says nothing about the links.
 func (p *Picker) CheckTargets(ownFailureDomain string, round uint64) []*steering.Server {
-	best := make(map[string]*server)
+	byDomain := make(map[string][]*server)
 	for _, s := range p.servers {
-		domain := s.registration.FailureDomain
-		if s.registration.Expired {
-			continue
-		}
-		other := best[domain]
-		if other == nil || other.unreachable && !s.unreachable || other.unreachable == s.unreachable && checkRank(s, round) > checkRank(other, round) {
-			best[domain] = s
+		if domain := s.registration.FailureDomain; !s.registration.Expired {
+			byDomain[domain] = append(byDomain[domain], s)
 		}
 	}
-	targets := make([]*server, 0, len(best))
-	for _, s := range best {
-		targets = append(targets, s)
-	}
-	slices.SortFunc(targets, func(a, b *server) int {
-		if a.unreachable != b.unreachable {
-			if b.unreachable {
-				return -1
-			}
-			return 1
+	var targets []checkTarget
+	for domain, servers := range byDomain {
+		slices.SortFunc(servers, func(a, b *server) int {
+			return cmp.Or(compareBool(a.unreachable, b.unreachable), cmp.Compare(checkRank(b, round), checkRank(a, round)))
+		})
+		for i, s := range servers[:min(len(servers), maxCheckTargets)] {
+			targets = append(targets, checkTarget{server: s, inDomain: i, elsewhere: domain != ownFailureDomain, rank: checkRank(s, round)})
 		}
-		if aIsOwn := a.registration.FailureDomain == ownFailureDomain; aIsOwn != (b.registration.FailureDomain == ownFailureDomain) {
-			if aIsOwn {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(checkRank(a, round), checkRank(b, round))
+	}
+	slices.SortFunc(targets, func(a, b checkTarget) int {
+		return cmp.Or(compareBool(a.server.unreachable, b.server.unreachable), cmp.Compare(a.inDomain, b.inDomain),
+			compareBool(a.elsewhere, b.elsewhere), cmp.Compare(a.rank, b.rank))
 	})
 	var registrations []*steering.Server
-	for _, s := range targets[:min(len(targets), maxCheckTargets)] {
-		registrations = append(registrations, s.registration)
+	for _, target := range targets[:min(len(targets), maxCheckTargets)] {
+		registrations = append(registrations, target.server.registration)
 	}
 	return registrations
 }
 
+// checkTarget is a server that a check of the links may try: number inDomain of its failure
+// domain.
+type checkTarget struct {
+	server    *server
+	inDomain  int
+	elsewhere bool
+	rank      uint64
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 func checkRank(s *server, round uint64) uint64 { return mix(s.hash + round) }
 
 // Servers returns the number of servers of all services.
