gateway: a server that crashes again under its id is blamed again

TestRequestsThatCrashServers (KNOWN-RED) failed with the same words.

Cause, from the logs: a VM keeps the connections that ended at a server for 5 s under the server's id. One that started again under its id and crashed within that time was compared with its earlier start, which is no longer registered: no request was blamed, and each further crash prolonged it. gateway-0 sent the request to i-1 at 15.1 and 16.5 s and to i-2 at 16.1 and 19.8 s, and recorded one crash.

An ended connection now belongs to a start of the server.

Before: TestServerThatCrashesAgainUnderItsIDIsBlamed failed (502 at the third start). After: passes.

--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -55,7 +55,7 @@
 // whether the server still accepts connections. The caller holds mu.
 func (n *Node) connectionLost(now time.Duration, server *steering.Server, request lostRequest) {
 	lost := n.lostConns[server.ID]
-	if lost == nil {
+	if lost == nil || lost.server.Incarnation != server.Incarnation {
 		lost = &lostServer{server: server}
 		n.lostConns[server.ID] = lost
 	}
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +23,7 @@
 	"github.com/cassiawind/cassiawind/core/steering"
 	"github.com/cassiawind/cassiawind/entry/ingress"
 	"github.com/cassiawind/cassiawind/entry/upstream"
+	"github.com/cassiawind/cassiawind/platform"
 	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
@@ -534,3 +537,44 @@
 	require.LessOrEqual(t, servers.lateArrivals(poisonTarget), maxCrashRetries)
 	require.LessOrEqual(t, servers.total(), 6)
 }
+
+// crashOnRequest stands in for a server that ends when it gets a request, and refuses
+// connections until it is started again.
+type crashOnRequest struct{ down atomic.Bool }
+
+// DialContext implements upstream.Dialer.
+func (c *crashOnRequest) DialContext(context.Context, string, string) (net.Conn, error) {
+	if c.down.Load() {
+		return nil, errRefused
+	}
+	client, server := net.Pipe()
+	go func() {
+		_, _ = http.ReadRequest(bufio.NewReader(server))
+		c.down.Store(true)
+		_ = server.Close()
+	}()
+	return client, nil
+}
+
+// Guards against a server that starts again under its id and crashes once more within
+// seconds: its ended connections were those of its earlier start, so that no request was
+// blamed for a further crash.
+func TestServerThatCrashesAgainUnderItsIDIsBlamed(t *testing.T) {
+	runInVirtualTime(t, &standInBackends{}, testConfig(), func(n *Node, serve func(*ingress.Request) *ingress.Response) {
+		servers := &crashOnRequest{}
+		n.pool = upstream.NewPool(servers)
+		for start, status := range []int{502, 502, 503} {
+			position := platform.Position(10 + start)
+			servers.down.Store(false)
+			n.mu.Lock()
+			n.catalog.LoadServers(n.now(), position, []catalog.RowChange[steering.Server]{{Key: "s1", Position: position, Value: &steering.Server{
+				ID: "s1", Service: "desk", Address: "s1", FailureDomain: "north", Region: "north", Slots: 4, Incarnation: int64(1 + start),
+			}}})
+			n.publishView(n.now())
+			n.mu.Unlock()
+			require.Equal(t, status, serve(newRequest("POST", "/book/crash")).Status, "start %d", start)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		require.False(t, servers.down.Load(), "the third start got the request")
+	})
+}
