catalog, gateway: a suspension during a restoration removes no rows

What was seen: soak, "the limited account ran 349 requests within 5s, 284 are allowed", with five restorations of the store and a gateway that was suspended for 2.5 s around the first two.

Cause, from the logs: gateway-1 woke after the time that the writers of lost rows have, and removed the seven rows that it had kept ("rows that were not written again were removed", 29:52.766) before it read that they had been written again. What it read then counted as rows of the next copy, which are old for 8 s: until 30:02.9 it took itself for the only VM and the owner of the account, beside gateway-0.

The periods after a restoration are prolonged by a suspension, which is a gap of 1 s or more between two ticks.

Before: TestSuspensionDuringARestorationRemovesNothing failed ("Should be zero, but was 1", without the call that tells of the suspension). After: passes.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -154,6 +154,14 @@
 	return c.vms.load(now, version, rows)
 }
 
+// Suspended records that the process was suspended for a time that ends now. It has read
+// nothing meanwhile, so that rows which are missing may have been written again.
+func (c *Catalog) Suspended(now, duration time.Duration) {
+	c.vms.postpone(now, duration)
+	c.servers.postpone(now, duration)
+	c.evacuations.postpone(now, duration)
+}
+
 // RemoveExpired removes the rows that did not come back within their grace period,
 // adopts those that a restored store still has in an older state. It returns their
 // number.
--- a/core/catalog/restore_test.go
+++ b/core/catalog/restore_test.go
@@ -232,3 +232,34 @@
 	require.True(t, c.LoadVMs(time.Second, at(1, 9), []RowChange[steering.VM]{vmChange(at(1, 9), 3, false)}))
 	require.NotContains(t, c.BuildView(time.Second).VMs, "vm-1", "a row of the copy does not bring a removed VM back")
 }
+
+// Guards against a VM that was suspended during a restoration, and takes itself for the only
+// one on waking: the others had written their registrations again, but it has not read that
+// yet.
+func TestSuspensionDuringARestorationRemovesNothing(t *testing.T) {
+	c := loadedCatalog(t)
+	require.True(t, c.LoadVMs(0, 10, []RowChange[steering.VM]{vmChange(9, 3, false)}))
+	require.True(t, c.LoadVMs(time.Second, at(1, 2), nil))
+	require.Zero(t, c.RemoveExpired(1100*time.Millisecond))
+	woke, suspended := 4*time.Second, 2900*time.Millisecond
+	c.Suspended(woke, suspended)
+	require.Zero(t, c.RemoveExpired(woke), "the time of the suspension does not count")
+	require.Contains(t, c.BuildView(woke).VMs, "vm-1")
+	require.True(t, c.ApplyVM(woke+100*time.Millisecond, vmChange(at(1, 3), 3, false)))
+	for now := woke; now < woke+10*time.Second; now += 250 * time.Millisecond {
+		require.Zero(t, c.RemoveExpired(now))
+	}
+
+	c = loadedCatalog(t)
+	require.True(t, c.LoadVMs(0, 10, []RowChange[steering.VM]{vmChange(9, 3, false)}))
+	require.True(t, c.LoadVMs(time.Second, at(1, 2), nil))
+	require.Zero(t, c.RemoveExpired(1100*time.Millisecond))
+	c.Suspended(woke, suspended)
+	until := time.Second + ExpiryGracePeriod + RegistrationSpread(1) + suspended
+	require.Zero(t, c.RemoveExpired(until-1))
+	require.Equal(t, 1, c.RemoveExpired(until), "a VM that does not register again is removed")
+	c.Suspended(until+time.Minute, 50*time.Second)
+	require.True(t, c.ApplyVM(until+time.Minute, RowChange[steering.VM]{Key: "vm-2", Position: at(1, 4), Value: &steering.VM{Name: "vm-2"}}))
+	require.True(t, c.LoadVMs(until+time.Minute, at(1, 5), nil))
+	require.NotContains(t, c.BuildView(until+time.Minute).VMs, "vm-2", "periods that have ended stay so")
+}
--- a/core/catalog/table.go
+++ b/core/catalog/table.go
@@ -202,6 +202,16 @@
 	return ExpiryGracePeriod + t.writeSpread(rows)
 }
 
+// postpone prolongs the periods that have not ended before a suspension of the given length,
+// which ends now.
+func (t *table[T]) postpone(now, suspended time.Duration) {
+	for _, until := range []*time.Duration{&t.missingUntil, &t.outdatedUntil} {
+		if *until > now-suspended {
+			*until += suspended
+		}
+	}
+}
+
 // settle removes the rows that are still missing and adopts the values that are
 // still older once their writers had the time to repeat their writes. It returns the
 // number of rows that it changed.
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -371,7 +371,7 @@
 func (n *Node) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lastGaugeUpdate := -gaugeInterval
+	lastGaugeUpdate, lastTick := -gaugeInterval, n.now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -381,6 +381,10 @@
 		now := n.now()
 		n.mu.Lock()
 		n.standstill.tick(n.uptime())
+		if now-lastTick >= minStandstill {
+			n.catalog.Suspended(now, now-lastTick)
+		}
+		lastTick = now
 		if removed := n.catalog.RemoveExpired(now); removed > 0 {
 			n.log.Info("rows that were not written again were removed", "rows", removed)
 			n.publishView(now)
--- a/standin/soak/regressions_test.go
+++ b/standin/soak/regressions_test.go
@@ -14,6 +14,7 @@
 	{104, 12 * time.Second, "two overlapping evacuations of one failure domain: the end of the first also ended the second, a fault of the soak test itself"},
 	{9205, 10 * time.Second, "a restarted gateway that had read the configuration and the servers but not the VMs admitted the whole rate of an account; about 1 run in 6 of this seed found it"},
 	{370012, 10 * time.Second, "servers that started again under their ids and crashed once more within 5 s: no request was blamed"},
+	{380025, 10 * time.Second, "a gateway that was suspended during a restoration removed the others on waking and took the whole rate"},
 }
 
 // Guards against the return of failures that a seed found earlier.
