standin/soak: concurrent runs of a process have addresses of their own

Cause: addresses followed from the seed modulo 64.

Addresses now follow from the number of the run in the process.

--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -86,7 +87,9 @@
 // testbed holds the gateway processes of a run, the stand-ins around them and what
 // they recorded.
 type testbed struct {
-	options      Options
+	options Options
+	// run is the number of the run in this process.
+	run          uint64
 	store        *platformstore.Store
 	storeServer  *http.Server
 	storeProxies []*proxy
@@ -157,12 +160,17 @@
 	exited chan struct{}
 }
 
+// runs counts the runs of this process, at most maxConcurrentRuns of which overlap.
+var runs atomic.Uint64
+
+const maxConcurrentRuns = 64
+
 // ErrStart means that the gateways or stand-ins of a run could not be started.
 var ErrStart = errors.New("soak did not start")
 
 func newTestbed(options Options) (*testbed, error) {
 	tb := &testbed{
-		options: options, store: platformstore.New(), executions: &executionLog{byID: make(map[string][]execution)}, outcomes: &outcomeLog{}, pauses: &pauseLog{arrivals: make(map[string][]pauseArrival)}, reserved: make(map[string]bool),
+		options: options, run: runs.Add(1), store: platformstore.New(), executions: &executionLog{byID: make(map[string][]execution)}, outcomes: &outcomeLog{}, pauses: &pauseLog{arrivals: make(map[string][]pauseArrival)}, reserved: make(map[string]bool),
 		accounts: map[string]*accountConfig{
 			"free": {Keys: []string{"free-1", "free-2"}}, limitedAccount: {Keys: []string{"limited-1"}, Rate: limitedRate, Burst: limitedBurst},
 		},
@@ -200,10 +208,10 @@
 	return tb, nil
 }
 
-// address returns a loopback address that no concurrent run uses: it depends on the
-// seed and the process id.
+// address returns a loopback address that no concurrent run uses: it depends on the number
+// of the run in this process and on the process id.
 func (tb *testbed) address(lastOctet, port int) string {
-	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 64+tb.options.Seed%64, os.Getpid()%250+1, lastOctet), strconv.Itoa(port))
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 64+tb.run%maxConcurrentRuns, os.Getpid()%250+1, lastOctet), strconv.Itoa(port))
 }
 
 // writeConfig writes the current configuration with a new version.
