--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -163,7 +163,11 @@
 // runs counts the runs of this process, at most maxConcurrentRuns of which overlap.
 var runs atomic.Uint64
 
-const maxConcurrentRuns = 64
+const (
+	maxConcurrentRuns = 64
+	// processes is the number of process ids that differ in the addresses of a run.
+	processes = 250
+)
 
 // ErrStart means that the gateways or stand-ins of a run could not be started.
 var ErrStart = errors.New("soak did not start")
@@ -211,7 +215,9 @@
 // address returns a loopback address that no concurrent run uses: it depends on the number
 // of the run in this process and on the process id.
 func (tb *testbed) address(lastOctet, port int) string {
-	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 64+tb.run%maxConcurrentRuns, os.Getpid()%250+1, lastOctet), strconv.Itoa(port))
+	pid := os.Getpid()
+	run := (tb.run + uint64(pid/processes)) % maxConcurrentRuns
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 64+run, pid%processes+1, lastOctet), strconv.Itoa(port))
 }
 
 // writeConfig writes the current configuration with a new version.
