standin/soak: a rejection that its gateway could not get asks for no pause

The rule: "A server that rejects a request with 503 and Retry-After gets nothing from this VM for that time" needs the VM to have got the rejection. The check now leaves out a rejection of a request whose caller had been answered before it reached the server. All others count as before: TestCheckOfPauses has both.

--- a/standin/soak/notice.go
+++ b/standin/soak/notice.go
@@ -56,14 +56,15 @@
 }
 
 // checkPauses checks that servers get no requests from the gateways that they have asked
-// for a pause.
+// for a pause. A request that was held back, and whose caller had been answered before it
+// reached the server, asks nobody: its gateway no longer awaits the rejection.
 func (tb *testbed) checkPauses(sent map[string]outcome, report func(string, ...any)) {
 	if tb.pauses == nil {
 		return
 	}
 	for server, arrivals := range tb.pauses.arrivals {
 		for i, asked := range arrivals {
-			if !asked.rejected {
+			if !asked.rejected || sent[asked.id].finished.Before(asked.at) {
 				continue
 			}
 			gateway, n := sent[asked.id].gateway, 0
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -289,3 +290,27 @@
 	require.Contains(t, checkViolations([]outcome{crash}, map[string][]execution{"a": crashed[:6]})[0], "was answered with 200")
 	require.NotContains(t, checkViolations([]outcome{crash}, map[string][]execution{"a": crashed}, killed)[0], "reached servers")
 }
+
+// Guards against a check of pauses that finds nothing, and against one that counts a
+// rejection which its gateway could not get.
+func TestCheckOfPauses(t *testing.T) {
+	asked := time.Now()
+	arrivals := []pauseArrival{{at: asked, id: "asked", rejected: true}}
+	sent := map[string]outcome{"asked": {id: "asked", gateway: "g", finished: asked.Add(time.Millisecond)}}
+	for i := range maxPausedRequests + 1 {
+		id := string(rune('a' + i))
+		arrivals = append(arrivals, pauseArrival{at: asked.Add(pauseNotice + time.Duration(1+i)*time.Millisecond), id: id})
+		sent[id] = outcome{id: id, gateway: "g"}
+	}
+	check := func() (violations []string) {
+		tb := &testbed{pauses: &pauseLog{arrivals: map[string][]pauseArrival{"s": arrivals}}}
+		tb.checkPauses(sent, func(format string, args ...any) { violations = append(violations, fmt.Sprintf(format, args...)) })
+		return violations
+	}
+	require.Len(t, check(), 1)
+	require.Contains(t, check()[0], "server s got 3 requests from gateway g in the pause")
+	answered := sent["asked"]
+	answered.finished = asked.Add(-time.Millisecond)
+	sent["asked"] = answered
+	require.Empty(t, check(), "the caller was answered before the request reached the server")
+}
