standin/soak: one function orders the faults of a plan

A comment in the gateway says why two gaps between ticks are looked at: the catalog counts by the monotonic clock, standstill by the time since the start of the machine.

--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -381,6 +381,7 @@
 		now := n.now()
 		n.mu.Lock()
 		n.standstill.tick(n.uptime())
+		// The catalog counts its periods by the monotonic clock, unlike standstill.
 		if now-lastTick >= minStandstill {
 			n.catalog.Suspended(now, now-lastTick)
 		}
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -106,10 +106,15 @@
 	plan = append(plan, gatewayCutPlan(seed, faultPeriod, gatewayCount)...)
 	plan = append(plan, crashPlan(seed, faultPeriod)...)
 	plan = append(plan, pausePlan(seed, faultPeriod, serverCount)...)
-	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+	sortByStart(plan)
 	return plan
 }
 
+// sortByStart puts the faults of a plan into the order of their start.
+func sortByStart(plan []Event) {
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+}
+
 // linkPlan returns the faults of links between the gateways and backend servers.
 func linkPlan(seed uint64, faultPeriod time.Duration, serverCount int) []Event {
 	rng := rand.New(rand.NewPCG(seed, 0x11))
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -1,13 +1,11 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"testing"
 	"time"
 
@@ -64,7 +62,7 @@
 		Event{Start: 7600 * time.Millisecond, Kind: Evacuate, Target: 2},
 		Event{Start: 7700 * time.Millisecond, Kind: ServerDrains, Target: 0},
 	)
-	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+	sortByStart(plan)
 	requireNoViolations(t, Options{Binary: buildBinary(t), Seed: 2, Plan: plan})
 }
 
@@ -166,7 +164,7 @@
 	for i, target := range []int{2, 0, 1, 3, 2, 0} {
 		plan = append(plan, Event{Start: time.Duration(1000+1500*i) * time.Millisecond, Kind: Replace, Target: target})
 	}
-	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+	sortByStart(plan)
 	for name, options := range map[string]Options{
 		"upgrade": {Binary: production, OtherBinary: current, Seed: 8, Plan: plan}, "downgrade": {Binary: current, OtherBinary: production, Seed: 9, Plan: plan},
 	} {
--- a/standin/soak/upgrade.go
+++ b/standin/soak/upgrade.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,7 +15,7 @@
 // side by side until the end.
 func UpgradePlan(seed uint64, faultPeriod time.Duration) []Event {
 	plan := append(SeedPlan(seed, faultPeriod), replacePlan(seed)...)
-	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+	sortByStart(plan)
 	return plan
 }
 
