gateway: a request line says where the request ran and why it left its region

Cause: the line `request` named only the region that the shares chose. Change: keys `serverRegion` and `departure`, metric `departures`; placement.Choice says why it left. No decision changes. Tests: TestSpilloverIsBounded, TestNoSpilloverToAFullRegion check the reason.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -52,6 +52,18 @@
 	LinksLost Reason = "links to backend servers lost"
 )
 
+// Departure is the reason why a request leaves its preferred region.
+type Departure string
+
+// Departures of a request. The first one means that it stays.
+const (
+	NoDeparture Departure = ""
+	// Spillover means that the servers of the region are full.
+	Spillover Departure = "spillover"
+	// RegionWithoutServer means that the region has no usable server for the request.
+	RegionWithoutServer Departure = "region without server"
+)
+
 // Choice is the result of Picker.Pick.
 type Choice struct {
 	// Server is nil if the request is rejected.
@@ -66,6 +78,8 @@
 	// LimitOwner is the VM that has to grant the request before it is sent, because
 	// the server names a limit; empty if no grant is needed.
 	LimitOwner string
+	// Departure is why the server is not in the preferred region.
+	Departure Departure
 	// waitMS and workMS are the parts of ExpectedLatency. The slowness of the
 	// server is not included in workMS.
 	waitMS, workMS float64
@@ -90,6 +104,7 @@
 		// The preferred region has no server for this request.
 		best = p.bestElsewhere(now, g, r, func(string) bool { return true })
 		if p.rejectionReason(r, best) == "" {
+			best.Departure = RegionWithoutServer
 			return best
 		}
 		return p.rejection(r, best)
@@ -97,6 +112,7 @@
 	other := p.bestElsewhere(now, g, r, func(region string) bool { return g.spareRegions[region] })
 	if p.rejectionReason(r, other) == "" && g.spilloverTokens >= 1 {
 		g.spilloverTokens--
+		other.Departure = Spillover
 		return other
 	}
 	return p.rejection(r, best)
--- a/core/placement/picker_test.go
+++ b/core/placement/picker_test.go
@@ -222,6 +222,7 @@
 			continue
 		}
 		require.Equal(t, "south", c.Server.Region)
+		require.Equal(t, Spillover, c.Departure)
 		spilledOver++
 	}
 	require.LessOrEqual(t, spilledOver, 1000*5/100+maxSpillover)
@@ -243,7 +244,9 @@
 		require.NotEmpty(t, c.Reason)
 	}
 	p.Update(0, testServices, map[string][]*steering.Server{"desk": testServers("south", 8, 8)})
-	require.NotNil(t, p.Pick(0, testRequest(0)).Server, "the own region has no server at all")
+	choice := p.Pick(0, testRequest(0))
+	require.NotNil(t, choice.Server, "the own region has no server at all")
+	require.Equal(t, RegionWithoutServer, choice.Departure)
 }
 
 // Guards against spillover that is saved up while no region has room: when one had
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -108,9 +108,12 @@
 	// lastFailure is the newest failure response of a backend server.
 	lastFailure *upstream.Response
 	// reason is the cause of a failure as it is logged; server is the server
-	// of the newest attempt.
-	reason string
-	server string
+	// of the newest attempt, serverRegion its region, and departure why that is not the
+	// preferred one.
+	reason       string
+	server       string
+	serverRegion string
+	departure    placement.Departure
 	// expectedTime is the expected time until the response, as of the last
 	// choice of a server.
 	expectedTime time.Duration
@@ -411,7 +414,7 @@
 // request.
 func (r *request) attempt(ctx context.Context, choice placement.Choice) (response *ingress.Response, retry bool) {
 	n := r.node
-	r.server = choice.Server.ID
+	r.server, r.serverRegion, r.departure = choice.Server.ID, choice.Server.Region, choice.Departure
 	r.placement.Tried = append(r.placement.Tried, choice.Server.ID)
 	begin := time.Now()
 	if !r.route.Idempotent {
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -35,7 +35,7 @@
 		return
 	}
 	n.log.Info("request", "id", r.callerHeaders.AttemptID, "status", response.Status, "account", account, "route", routeName,
-		"service", r.placement.Service, "region", r.placement.PreferredRegion, "server", r.server, "relay", r.relayVM, "sent", r.attempts, "ms", elapsed.Milliseconds(),
+		"service", r.placement.Service, "region", r.placement.PreferredRegion, "server", r.server, "serverRegion", r.serverRegion, "departure", r.departure, "relay", r.relayVM, "sent", r.attempts, "ms", elapsed.Milliseconds(),
 		"reason", r.reason, "rank", r.placement.Priority, "expectedMS", r.expectedTime.Milliseconds(), "callerTimeoutMS", r.callerHeaders.Timeout.Milliseconds(),
 		"retryAfterMS", r.retryAfter.Milliseconds(), "config", configVersion(r), "operatorAgeMS", operatorAge.Milliseconds(), "digestAgeMS", digestAge.Milliseconds(), "counter", rateOwner, "omitted", omitted)
 }
@@ -63,6 +63,9 @@
 // recordAttempt counts an attempt, and logs it unless it succeeded.
 func (n *Node) recordAttempt(r *request, choice placement.Choice, result placement.Result, cause string, elapsed time.Duration) {
 	n.metrics.Count(1, "sends", result.String())
+	if choice.Departure != placement.NoDeparture {
+		n.metrics.Count(1, "departures", r.placement.Service, string(choice.Departure))
+	}
 	if result == placement.Succeeded {
 		return
 	}
