regionflow: shares do not catch up after a pause

Cause: Step moved the shares by the rate times the time since its last call. The gateway does not call it without a valid digest or without links; suspended processes do not either. After 10 s the first step moved 25% of the requests. Change: a step counts at most 500 ms. Evidence: TestSharesDoNotJumpAfterAPause, within 2 s after a pause of 4 s: 15% moved before, 6.25% now at most. Ruled out: TestSharesMoveSlowly passes before and after, since it steps without a pause.

--- a/core/regionflow/regionflow.go
+++ b/core/regionflow/regionflow.go
@@ -150,10 +150,15 @@
 	initialized bool
 }
 
+// maxStepTime is the longest time since the last step that counts. Shares that were not moved
+// for longer, because the demand was not known, must not move by all of it at once. It is above
+// the interval at which VMs call Step.
+const maxStepTime = 500 * time.Millisecond
+
 // Step moves the shares towards target. At most the fraction
 // maxShiftPerSecond of the region's requests moves to another serving region per
-// second. The first target is adopted as it is, and so is any target if immediate
-// is set.
+// second, and within one step that of maxStepTime. The first target is adopted as it is,
+// and so is any target if immediate is set.
 func (f *Flow) Step(now time.Duration, target map[string]float64, maxShiftPerSecond float64, immediate bool) {
 	if !f.initialized || immediate {
 		f.shares, f.lastStepAt, f.initialized = target, now, true
@@ -164,7 +169,7 @@
 	for _, r := range regions {
 		distance += math.Abs(target[r]-f.shares[r]) / 2
 	}
-	allowed := maxShiftPerSecond * (now - f.lastStepAt).Seconds()
+	allowed := maxShiftPerSecond * min(now-f.lastStepAt, maxStepTime).Seconds()
 	f.lastStepAt = now
 	if distance <= allowed {
 		f.shares = target
--- a/core/regionflow/regionflow_test.go
+++ b/core/regionflow/regionflow_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// Guards against shares that move at once by what they were allowed to move during a pause,
+// in which there was no valid digest, the links were lost or the process was suspended. All
+// VMs get the next digest at about the same moment.
+func TestSharesDoNotJumpAfterAPause(t *testing.T) {
+	const perSecond = 0.15 / 6
+	for _, pause := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second, time.Hour} {
+		var f Flow
+		f.Step(0, map[string]float64{"a": 1}, perSecond, true)
+		for i := range 9 {
+			f.Step(pause+time.Duration(i)*250*time.Millisecond, map[string]float64{"a": 0.5, "b": 0.5}, perSecond, false)
+		}
+		require.LessOrEqual(t, f.Shares()["b"], 3*perSecond, "within 2 s after a pause of %s", pause)
+		require.Positive(t, f.Shares()["b"])
+	}
+}
+
 // Guards against a region with few servers that serves all of its requests in the
 // first seconds after a start, because no demand was measured yet.
 func TestAssumedDemandSpreadsARegionWithFewServers(t *testing.T) {
