regionflow: a VM that joins a fleet with traffic takes the shares of its region

Cause: a VM that starts assumes equal demand in all regions and moves from there by 2.5% a second, also when its first digest shows the demand. visayas has 10% of the servers, so that its share at equal demand is a third. Change: regionflow.DemandTracker. If the first digest of a VM shows demand and comes from a hub that knows all VMs, the shares begin at their target, where those of the other VMs are. A fleet that starts together sees digests without demand first and moves gradually as before. Digests update the shares at once.

--- a/core/regionflow/regionflow.go
+++ b/core/regionflow/regionflow.go
@@ -143,6 +143,29 @@
 	return out
 }
 
+// DemandTracker decides what a VM that has started computes its shares from.
+type DemandTracker struct{ measured, fleetWasIdle bool }
+
+// Observe records the loads of a service. valid is set if they come from a digest that may be
+// used, settled if its hub has run long enough to know the demand of all VMs. measured is set
+// once there was any demand; until then AssumeEqualDemand applies.
+//
+// adopt is set if the shares are to begin at their target. The other VMs of a fleet that has
+// demand already have moved theirs there; from equal demand, those of a VM that replaces one of
+// them would need seconds. A fleet that starts together moves its shares gradually.
+func (t *DemandTracker) Observe(loads []RegionLoad, valid, settled bool) (measured, adopt bool) {
+	hasDemand := slices.ContainsFunc(loads, func(l RegionLoad) bool { return l.Demand > 0 })
+	if !t.measured && hasDemand {
+		t.measured = true
+		return true, valid && settled && !t.fleetWasIdle
+	}
+	t.fleetWasIdle = t.fleetWasIdle || valid && !hasDemand
+	return t.measured, false
+}
+
+// Measured reports whether there was any demand.
+func (t *DemandTracker) Measured() bool { return t.measured }
+
 // Flow holds the current shares and moves them towards a target.
 type Flow struct {
 	shares      map[string]float64
--- a/core/regionflow/regionflow_test.go
+++ b/core/regionflow/regionflow_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Guards against a VM that starts in a fleet with traffic and begins with shares of equal
+// demand, and against a fleet that starts together and whose shares jump with the first demand.
+func TestSharesOfAVMThatStarts(t *testing.T) {
+	idle, busy := testLoads(0), testLoads(20)
+	type observation struct {
+		loads          []RegionLoad
+		valid, settled bool
+	}
+	for name, c := range map[string]struct {
+		observations  []observation
+		measuredAfter int
+		adopt         bool
+	}{
+		"fleet with traffic":           {[]observation{{idle, false, false}, {idle, false, false}, {busy, true, true}}, 3, true},
+		"fleet that starts together":   {[]observation{{idle, true, true}, {idle, true, true}, {busy, true, true}}, 3, false},
+		"hub that has just started":    {[]observation{{idle, false, false}, {busy, true, false}}, 2, false},
+		"digest that is no more valid": {[]observation{{busy, false, true}}, 1, false},
+	} {
+		var tracker DemandTracker
+		for i, o := range c.observations {
+			measured, adopt := tracker.Observe(o.loads, o.valid, o.settled)
+			require.Equal(t, i+1 >= c.measuredAfter, measured, name)
+			require.Equal(t, measured && c.adopt, adopt, name)
+		}
+		measured, adopt := tracker.Observe(idle, true, true)
+		require.True(t, measured, name)
+		require.False(t, adopt, "%s: once at most", name)
+	}
+}
+
 // Guards against a region with few servers that serves all of its requests in the
 // first seconds after a start, because no demand was measured yet.
 func TestAssumedDemandSpreadsARegionWithFewServers(t *testing.T) {
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,10 +138,10 @@
 	retryBudgets map[string]*retrybudget.Budget
 	regionFlows  map[string]*regionflow.Flow
 	regions      []string
-	// demandKnown holds the services whose demand has been measured.
-	demandKnown map[string]bool
-	routeSplits map[string]*placement.TrafficSplitter
-	demandMeter *demand.Meter
+	// demandTrackers are kept for each service.
+	demandTrackers map[string]*regionflow.DemandTracker
+	routeSplits    map[string]*placement.TrafficSplitter
+	demandMeter    *demand.Meter
 	// serverLimits are the limits of backend servers that the picker uses.
 	serverLimits map[string]serverlimit.Limit
 	logLimiter   *eventlog.Limiter
@@ -204,7 +203,7 @@
 		tokenWaiters: make(map[string][]tokenWaiter),
 		retryBudgets: make(map[string]*retrybudget.Budget),
 		regionFlows:  make(map[string]*regionflow.Flow), routeSplits: make(map[string]*placement.TrafficSplitter),
-		demandMeter: demand.New(), logLimiter: eventlog.NewLimiter(), regions: regionNames(settings), demandKnown: make(map[string]bool),
+		demandMeter: demand.New(), logLimiter: eventlog.NewLimiter(), regions: regionNames(settings), demandTrackers: make(map[string]*regionflow.DemandTracker),
 	}
 	if backendDialer == nil {
 		backendDialer = networkDialer{n}
@@ -465,24 +464,27 @@
 	}
 	digest, fresh := n.peers.Digest(now)
 	for service := range view.Config.Services {
-		flow := n.regionFlows[service]
-		if flow == nil {
-			flow = &regionflow.Flow{}
-			n.regionFlows[service] = flow
-		}
-		if !fresh && n.demandKnown[service] {
+		flow, tracker := n.regionFlow(service)
+		if !fresh && tracker.Measured() {
 			continue
 		}
 		loads := regionflow.Loads(service, n.regions, digest.Work, digest.Pinned, n.picker.Capacity(now, service))
-		if slices.ContainsFunc(loads, func(l regionflow.RegionLoad) bool { return l.Demand > 0 }) {
-			n.demandKnown[service] = true
-		}
-		if !n.demandKnown[service] {
+		measured, adopt := tracker.Observe(loads, fresh, digest.Settled)
+		if !measured {
 			loads = regionflow.AssumeEqualDemand(loads, view.Config.PinnedShares())
 		}
 		n.picker.SetSpareRegions(service, regionflow.SpareRegions(loads))
 		// This rate uses a third of the bound on shifts within 2 s. The rest is
 		// left for spillover.
-		flow.Step(now, regionflow.TargetShares(n.settings.Region, loads), n.bounds.Load().MaxRegionShift/6, !n.demandKnown[service])
+		flow.Step(now, regionflow.TargetShares(n.settings.Region, loads), n.bounds.Load().MaxRegionShift/6, !measured || adopt)
+	}
+}
+
+// regionFlow returns the shares of a service and what is known of its demand. The caller holds
+// mu.
+func (n *Node) regionFlow(service string) (*regionflow.Flow, *regionflow.DemandTracker) {
+	if n.regionFlows[service] == nil {
+		n.regionFlows[service], n.demandTrackers[service] = &regionflow.Flow{}, &regionflow.DemandTracker{}
 	}
+	return n.regionFlows[service], n.demandTrackers[service]
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -121,6 +121,9 @@
 			n.updateActiveVMs(now)
 			n.updateRates(now, view)
 		}
+		if !n.links.Lost() {
+			n.updateRegionFlows(now)
+		}
 		n.applyServerLimits(now)
 	}
 	n.applySuspects(now)
--- a/measure/steersim/network.go
+++ b/measure/steersim/network.go
@@ -16,6 +16,8 @@
 	killed       bool
 	exchange     *exchange.Machine
 	meter        *demand.Meter
+	// onDigest is called for each digest; nil stands for nothing.
+	onDigest func()
 }
 
 // peerNetwork holds the VMs of a site and delivers the messages between them.
@@ -73,7 +75,12 @@
 	digests := v.exchange.Digests(now)
 	for _, to := range p.all {
 		if digest, ok := digests[to.name]; ok {
-			p.send(v, to, func(to *peer) { to.exchange.HandleDigest(p.clock.Elapsed(), digest) })
+			p.send(v, to, func(to *peer) {
+				to.exchange.HandleDigest(p.clock.Elapsed(), digest)
+				if to.onDigest != nil {
+					to.onDigest()
+				}
+			})
 		}
 	}
 }
--- a/measure/steersim/policy.go
+++ b/measure/steersim/policy.go
@@ -198,11 +198,12 @@
 // users' deployments is 0.15 within 2 s, and the gateway uses a third of it.
 const maxShiftPerSecond = 0.15 / 6
 
-// updateShares updates the region shares of a VM according to the share mode.
-func (p policy) updateShares(f *regionflow.Flow, now time.Duration, ownRegion string, s site, loads []regionflow.RegionLoad) {
+// updateShares updates the region shares of a VM according to the share mode. adopt is set if
+// they begin at their target.
+func (p policy) updateShares(f *regionflow.Flow, now time.Duration, ownRegion string, s site, loads []regionflow.RegionLoad, adopt bool) {
 	switch p.shares {
 	case gradualShares:
-		f.Step(now, regionflow.TargetShares(ownRegion, loads), maxShiftPerSecond, now == 0)
+		f.Step(now, regionflow.TargetShares(ownRegion, loads), maxShiftPerSecond, now == 0 || adopt)
 	case unboundedShares:
 		f.Step(now, regionflow.TargetShares(ownRegion, loads), 1, true)
 	case localShares:
--- a/measure/steersim/world.go
+++ b/measure/steersim/world.go
@@ -71,7 +71,7 @@
 	chooser     chooser
 	flow        regionflow.Flow
 	retryBudget *retrybudget.Budget
-	demandKnown bool
+	demand      regionflow.DemandTracker
 	// startedAt is when the VM last started.
 	startedAt time.Duration
 	// ownSuspects is used in place of the suspects that VMs exchange, if the policy says so.
@@ -122,6 +122,7 @@
 		// The offsets spread the periodic actions of the VMs over the interval.
 		offset := shareInterval * time.Duration(i) / time.Duration(len(vms))
 		v.updateShares()
+		v.onDigest = v.updateShares
 		w.Every(offset, shareInterval, v.updateShares)
 		w.fleet.startExchange(p, offset)
 	}
@@ -136,7 +137,7 @@
 	v.exchange, v.meter = exchange.New(v.name, int64(now), now), demand.New()
 	v.exchange.SetRoster(w.fleet.roster)
 	v.readQuarantine()
-	v.chooser, v.flow, v.demandKnown = newCoreChooser(w.site, v.name, v.region, vms), regionflow.Flow{}, false
+	v.chooser, v.flow, v.demand = newCoreChooser(w.site, v.name, v.region, vms), regionflow.Flow{}, regionflow.DemandTracker{}
 	v.updateShares()
 	for _, s := range w.serverList {
 		delete(s.toldAt, v.name)
@@ -150,14 +151,12 @@
 	v.applyLimits()
 	digest, fresh := v.exchange.Digest(now)
 	loads := regionflow.Loads(serviceName, v.world.site.regionNames(), digest.Work, digest.Pinned, v.chooser.capacity(now))
-	for _, l := range loads {
-		v.demandKnown = v.demandKnown || fresh && l.Demand > 0
-	}
-	if !v.demandKnown {
+	measured, adopt := v.demand.Observe(loads, fresh, digest.Settled)
+	if !measured {
 		loads = regionflow.AssumeEqualDemand(loads, nil)
 	}
 	v.chooser.setSpareRegions(regionflow.SpareRegions(loads))
-	v.world.policy.updateShares(&v.flow, now, v.region, v.world.site, loads)
+	v.world.policy.updateShares(&v.flow, now, v.region, v.world.site, loads, adopt)
 }
 
 // scheduleArrivals sends the requests of the callers in a region, each to a random
