--- a/entry/gateway/registration.go
+++ b/entry/gateway/registration.go
@@ -26,6 +26,9 @@
 	Weight float64 `json:"weight"`
 }
 
+// maxVMWeight is the weight of a VM with a million cores and a link of 1 Gbit/s.
+const maxVMWeight = 1e9
+
 // ErrVMRegistration means that the registration of a VM cannot be decoded.
 var ErrVMRegistration = errors.New("invalid VM registration")
 
@@ -35,6 +38,9 @@
 	if err := json.Unmarshal(raw, &registration); err != nil {
 		return nil, errors.Wrap(ErrVMRegistration, err.Error())
 	}
+	if registration.Weight < 0 || registration.Weight > maxVMWeight {
+		return nil, errors.Wrap(ErrVMRegistration, "weight is out of range")
+	}
 	return &steering.VM{
 		Name: name, FailureDomain: registration.FailureDomain, Region: registration.Region, FrontAddress: registration.FrontAddress,
 		PeerAddress: registration.PeerAddress, Incarnation: registration.Incarnation, Leaving: registration.Leaving, Weight: registration.Weight,
--- a/entry/gateway/watch.go
+++ b/entry/gateway/watch.go
@@ -122,6 +122,9 @@
 			n.log.Info("store watch recovered", "table", w.table, "version", rows.Position.Version())
 			w.onRecovered()
 		}
+		if rows.Malformed > 0 {
+			n.log.Info("rows of the store cannot be read", "table", w.table, "rows", rows.Malformed, "version", rows.Position.Version())
+		}
 		if !n.applyRows(w, full, rows) {
 			n.log.Info("full read ignored: older than the known state", "table", w.table, "read", rows.Position.String(), "known", known.String())
 			n.sleep(ctx, jitter(2*initialBackoff))
@@ -324,7 +327,7 @@
 
 // decodeChanges decodes rows. A row that cannot be decoded is logged with
 // message, its key in the field keyName, and is marked, so that its last known
-// state stays in use.
+// state stays in use. The caller holds mu.
 func decodeChanges[T any](n *Node, message, keyName string, rows []adapter.Row, decode func(adapter.Row) (*T, error)) []catalog.RowChange[T] {
 	changes := make([]catalog.RowChange[T], 0, len(rows))
 	for _, row := range rows {
@@ -333,7 +336,9 @@
 			value, err := decode(row)
 			if err != nil {
 				change.Unreadable = true
-				n.log.Info(message, keyName, row.Key, "version", row.Position.Version(), "error", err.Error())
+				if ok, omitted := n.logLimiter.Allow(n.now(), message); ok {
+					n.log.Info(message, keyName, row.Key, "version", row.Position.Version(), "error", err.Error(), "omitted", omitted)
+				}
 			}
 			change.Value = value
 		}
