exchange: a hub that is cut off from the others deletes one registration, not all

Cause: a deletion was repeated without regard to what became of the one before. A VM that registers again is alive.

--- a/core/exchange/digests.go
+++ b/core/exchange/digests.go
@@ -27,6 +27,7 @@
 	m.limits.MergeReported(now, r.Limits)
 	m.suspects.MergeReported(now, r.Suspects)
 	r.Limits, r.Suspects = nil, nil
+	delete(m.removedAt, r.VM)
 	m.receivedReports[r.VM] = &receivedReport{report: r, lastSeenAt: now}
 }
 
@@ -144,46 +145,6 @@
 	}
 }
 
-// awaitReports records that this VM, which sends digests, expects a report of each VM from
-// now on, unless it did so before.
-func (m *Machine) awaitReports(now time.Duration) {
-	if m.hasMissedReports(now) {
-		clear(m.awaitedSince)
-	}
-	m.digestsSentAt = now
-	for _, vm := range m.roster {
-		if _, awaited := m.awaitedSince[vm]; !awaited {
-			m.awaitedSince[vm] = now
-		}
-	}
-}
-
-// hasMissedReports reports whether this VM has not sent digests for so long, because another
-// hub did or the process was suspended, that it has missed reports.
-func (m *Machine) hasMissedReports(now time.Duration) bool {
-	return now-m.digestsSentAt > silenceTimeout(len(m.roster))
-}
-
-// RemovableVMs returns the VMs whose registrations may be removed from the store: those of
-// which this VM, as the hub that sends the digests, has expected a report for
-// RemovalTimeout, and got none.
-func (m *Machine) RemovableVMs(now time.Duration) []string {
-	if !m.SendsDigests(now) || m.hasMissedReports(now) {
-		return nil
-	}
-	var removable []string
-	for _, vm := range m.roster {
-		since, awaited := m.awaitedSince[vm]
-		if known := m.receivedReports[vm]; known != nil {
-			since = max(since, known.lastSeenAt)
-		}
-		if vm != m.self && awaited && now-since > RemovalTimeout {
-			removable = append(removable, vm)
-		}
-	}
-	return removable
-}
-
 func roundedAll(values map[string]map[string]float64) map[string]map[string]float64 {
 	out := make(map[string]map[string]float64, len(values))
 	for k, v := range values {
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -36,9 +36,6 @@
 	// which a VM is silent, and minSilence the lower bound of that time.
 	MissedReports = 4
 	minSilence    = 2500 * time.Millisecond
-	// RemovalTimeout is the time without a report after which the registration of
-	// a VM is removed.
-	RemovalTimeout = 90 * time.Second
 	// HeartbeatInterval is the time between two heartbeats of a hub.
 	HeartbeatInterval = 500 * time.Millisecond
 	// heartbeatValidity is how long a heartbeat shows that its hub is healthy. It
@@ -131,7 +128,9 @@
 	// of each VM of the roster. It sent the last digests at digestsSentAt.
 	awaitedSince  map[string]time.Duration
 	digestsSentAt time.Duration
-	heartbeats    map[string]*receivedHeartbeat
+	// removedAt is when this VM removed the registrations of VMs that have not reported since.
+	removedAt  map[string]time.Duration
+	heartbeats map[string]*receivedHeartbeat
 	// groupReports holds those received from group leaders, sentGroupReports the
 	// members of those that this VM sent as a leader, by sequence number.
 	groupReports     map[string]*receivedGroupReport
@@ -163,7 +162,7 @@
 func New(self string, incarnation int64, now time.Duration) *Machine {
 	return &Machine{
 		self: self, incarnation: incarnation, started: now, sentReports: make(map[uint64]sentReport),
-		receivedReports: make(map[string]*receivedReport), awaitedSince: make(map[string]time.Duration), heartbeats: make(map[string]*receivedHeartbeat), regionOf: make(map[string]string), ownerWeightOf: make(map[string]float64),
+		receivedReports: make(map[string]*receivedReport), awaitedSince: make(map[string]time.Duration), removedAt: make(map[string]time.Duration), heartbeats: make(map[string]*receivedHeartbeat), regionOf: make(map[string]string), ownerWeightOf: make(map[string]float64),
 		lastTokenRequestAt: make(map[string]time.Duration), owners: make(map[ownerKey]string),
 		groupOf: make(map[string]groupKey), groupReports: make(map[string]*receivedGroupReport), sentGroupReports: make(map[uint64]map[string]MemberStatus),
 		limits: serverlimit.New(), suspects: poison.New(),
--- a/entry/gateway/registration.go
+++ b/entry/gateway/registration.go
@@ -97,5 +97,8 @@
 		n.log.Info("could not delete registration of a silent VM", "vm", name, "error", err.Error())
 		return
 	}
+	n.mu.Lock()
+	n.peers.RegistrationRemoved(n.now(), name)
+	n.mu.Unlock()
 	n.log.Info("deleted registration of a silent VM", "vm", name, "version", version.Version())
 }
