ratelimit: VMs without a recent grant do not admit a burst again on credit

Cause: only answers of the owner say how much it has left. Change: each VM follows the burst of each account from the demand that digests report, and limits its credit to its share of that, and of what has come in since, when the owner falls silent. No message changes.

--- a/core/ratelimit/requester.go
+++ b/core/ratelimit/requester.go
@@ -47,11 +47,22 @@
 	// answer, if isUnanswered is set.
 	unansweredSince time.Duration
 	isUnanswered    bool
-	// fill is how full the owner's bucket was when it last said so, at fillAt, if hasFill is
-	// set. It is used once, when the owner falls silent.
-	fill    float64
-	fillAt  time.Duration
-	hasFill bool
+	// granted is how full the owner's bucket was when it last said so, estimated how full it
+	// was by the newest digest.
+	granted, estimated knownFill
+}
+
+// knownFill is how full an owner's bucket was, from 0 to 1. It is used once, when the owner
+// falls silent.
+type knownFill struct {
+	fill  float64
+	at    time.Duration
+	known bool
+}
+
+// left returns the equal share of a VM in the tokens of the bucket and in what has come in since.
+func (k knownFill) left(now time.Duration, limits CreditLimits) float64 {
+	return k.fill*limits.Burst + limits.Rate*(now-k.at).Seconds()
 }
 
 // How long a request waits for the owner of its account.
@@ -126,25 +137,28 @@
 }
 
 // limitToFill lowers the credit to this VM's equal share of the tokens that the owner had
-// when it last answered, and what has come in since. The burst that the owner has granted
-// must not be used again.
+// when it last answered, or by the newest digest, and what has come in since. The burst that
+// the owner has granted, to this VM or to others, must not be used again.
 func (r *Requester) limitToFill(now time.Duration) {
-	if !r.hasFill {
-		return
+	for _, k := range []*knownFill{&r.granted, &r.estimated} {
+		if k.known {
+			k.known = false
+			r.credit.refill(now)
+			r.credit.tokens = min(r.credit.tokens, k.left(now, r.limits))
+		}
 	}
-	r.hasFill = false
-	left := r.fill*r.limits.Burst + r.limits.Rate*(now-r.fillAt).Seconds()
-	r.credit.refill(now)
-	r.credit.tokens = min(r.credit.tokens, left)
 }
 
+// EstimateFill records how full the owner's bucket is by the newest digest.
+func (r *Requester) EstimateFill(e *BurstEstimate) { r.estimated = e.fill() }
+
 // HandleGrant adds the tokens of a grant to the cache. late is set if no request
 // waits for it any more; its tokens then first replace credit of which the owner
 // does not know.
 func (r *Requester) HandleGrant(now time.Duration, g Grant, late bool) {
 	r.isUnanswered = false
 	if g.HasFill {
-		r.fill, r.fillAt, r.hasFill = g.Fill, now, true
+		r.granted = knownFill{g.Fill, now, true}
 	}
 	if g.Settled > r.settled && g.Settled <= r.total {
 		if g.Tokens > 0 {
--- a/core/ratelimit/requester_test.go
+++ b/core/ratelimit/requester_test.go
@@ -270,3 +270,86 @@
 		})
 	}
 }
+
+// Guards against an account that gets its burst twice: the owner grants it to the callers of some
+// VMs, dies, and its callers go on through VMs to which it has granted nothing lately. Digests
+// show them the demand.
+func TestBurstIsNotUsedAgainByVMsWithoutAGrant(t *testing.T) {
+	const rate, burst, vms, perMS = 474.0, 474.0, 10, 4
+	allowance := Allowance{Tolerance: 0.1, Margin: 20, Window: 5 * time.Second}
+	totalRate, totalBurst := allowance.ShareLimits(rate, burst, 1)
+	for name, usual := range map[string]float64{"used before": rate / 2, "not used before": 0} {
+		t.Run(name, func(t *testing.T) {
+			const start, dead, successor, end = time.Minute, time.Minute + 3100*time.Millisecond, time.Minute + 3900*time.Millisecond, time.Minute + 8*time.Second
+			owner := allowance.NewBucket(0, rate, burst, 1)
+			var estimate BurstEstimate
+			var requesters []*Requester
+			for range vms {
+				r := NewRequester(0, allowance.CreditLimits(rate, burst, vms))
+				r.Request(0, "first")
+				r.HandleGrant(0, Grant{Fill: 1, HasFill: true}, false)
+				requesters = append(requesters, r)
+			}
+			var admittedAt []time.Duration
+			demand := 0
+			for now := start - 10*time.Second; now < end; now += time.Millisecond {
+				if now%(500*time.Millisecond) == 0 {
+					measured := max(usual, float64(demand)*2)
+					estimate.Observe(now, totalRate, totalBurst, measured)
+					demand = 0
+					for _, r := range requesters {
+						r.EstimateFill(&estimate)
+					}
+				}
+				switch now {
+				case dead:
+					owner = nil
+				case successor:
+					owner = allowance.NewBucket(now, rate, burst, 1)
+				}
+				if now < start {
+					continue
+				}
+				for i := range perMS {
+					demand++
+					vm := i % 2
+					if owner == nil || now >= successor {
+						vm = (int(now/time.Millisecond)*perMS + i) % vms
+					}
+					r := requesters[vm]
+					ownerName := "first"
+					if now >= successor {
+						ownerName = "second"
+					}
+					if r.Take(now) {
+						admittedAt = append(admittedAt, now)
+						continue
+					}
+					request := r.Request(now, ownerName)
+					if owner == nil {
+						if ok, _ := r.TakeCredit(now); ok {
+							admittedAt = append(admittedAt, now)
+						}
+						continue
+					}
+					g := owner.GrantTo(now, RequesterID{Address: string(rune('a' + vm))}, request)
+					if g.Tokens > 0 {
+						admittedAt = append(admittedAt, now)
+						g.Tokens--
+					}
+					r.HandleGrant(now, g, false)
+				}
+			}
+			for i, from := range admittedAt {
+				admitted := 0
+				for _, at := range admittedAt[i:] {
+					if at < from+5*time.Second {
+						admitted++
+					}
+				}
+				require.LessOrEqual(t, float64(admitted), (rate*5+burst)*1.1+20, "from %s", from)
+			}
+			require.Greater(t, float64(len(admittedAt)), rate*7.2+burst, "the rate is used")
+		})
+	}
+}
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -122,6 +122,8 @@
 	// requesters those through which it gets tokens of each account.
 	buckets    map[string]*ratelimit.OwnerBucket
 	requesters map[string]*ratelimit.Requester
+	// burstEstimates follow how much of the bursts of all accounts is left.
+	burstEstimates map[string]*ratelimit.BurstEstimate
 	// rateOwners are the owners of the accounts in this region.
 	rateOwners map[string]string
 	// pendingGrants are the token requests that were not answered yet, by id.
@@ -199,7 +201,8 @@
 		catalog: catalog.New(), picker: placement.New(settings.VM, settings.Region),
 		peers:   exchange.New(settings.VM, incarnation, 0),
 		buckets: make(map[string]*ratelimit.OwnerBucket), requesters: make(map[string]*ratelimit.Requester),
-		rateOwners: make(map[string]string), pendingGrants: make(map[uint64]*pendingGrant), pendingLimitGrants: make(map[uint64]chan limitGrant),
+		burstEstimates: make(map[string]*ratelimit.BurstEstimate),
+		rateOwners:     make(map[string]string), pendingGrants: make(map[uint64]*pendingGrant), pendingLimitGrants: make(map[uint64]chan limitGrant),
 		tokenWaiters: make(map[string][]tokenWaiter),
 		retryBudgets: make(map[string]*retrybudget.Budget),
 		regionFlows:  make(map[string]*regionflow.Flow), routeSplits: make(map[string]*placement.TrafficSplitter),
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -120,6 +120,7 @@
 		if view := n.view.Load(); view.Config != nil {
 			n.updateActiveVMs(now)
 			n.updateRates(now, view)
+			n.estimateBursts(now, view)
 		}
 		if !n.links.Lost() {
 			n.updateRegionFlows(now)
--- a/entry/gateway/tokens.go
+++ b/entry/gateway/tokens.go
@@ -150,10 +150,36 @@
 	if r == nil {
 		r = ratelimit.NewRequester(now, n.creditLimits(a))
 		n.requesters[a.Name] = r
+		if estimate := n.burstEstimates[a.Name]; estimate != nil {
+			r.EstimateFill(estimate)
+		}
 	}
 	return r
 }
 
+// estimateBursts follows the bursts of all accounts with a new digest. The caller holds mu.
+func (n *Node) estimateBursts(now time.Duration, view *catalog.View) {
+	digest, fresh := n.peers.Digest(now)
+	if !fresh {
+		return
+	}
+	for name, a := range view.Config.Accounts {
+		if a.RatePerSecond <= 0 {
+			continue
+		}
+		estimate := n.burstEstimates[name]
+		if estimate == nil {
+			estimate = &ratelimit.BurstEstimate{}
+			n.burstEstimates[name] = estimate
+		}
+		rate, burst := n.allowance().ShareLimits(a.RatePerSecond, a.Burst, 1)
+		estimate.Observe(now, rate, burst, digest.Demand[name])
+		if r := n.requesters[name]; r != nil {
+			r.EstimateFill(estimate)
+		}
+	}
+}
+
 // creditLimits returns the limits of what this VM may admit of an account while the
 // owner does not answer.
 func (n *Node) creditLimits(a *steering.Account) ratelimit.CreditLimits {
@@ -264,6 +290,7 @@
 			delete(n.rateOwners, name)
 			delete(n.buckets, name)
 			delete(n.requesters, name)
+			delete(n.burstEstimates, name)
 		}
 	}
 }
