gateway: suspect requests of different VMs do not share a server

Cause: they are sent again, by their VMs, to servers that the request which caused the crash, sent again by another VM, ends next. A VM isolates its own suspect requests from each other, but does not know those of others at that moment. Change: a VM sends suspect requests first to the servers that it owns by rendezvous hashing, as it owns their limits; each server has one owner. Without one, as before. Not tried: telling the others sooner; a message takes about as long as the next attempt takes to start.

--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -7,6 +7,7 @@
 	"github.com/cassiawind/cassiawind/core/exchange"
 	"github.com/cassiawind/cassiawind/core/ratelimit"
 	"github.com/cassiawind/cassiawind/core/serverlimit"
+	"github.com/cassiawind/cassiawind/core/steering"
 )
 
 const (
@@ -107,10 +108,19 @@
 	return handoverIntervals * exchange.ReportInterval(len(p.activeVMs))
 }
 
-// limitOwner returns the VM that owns the limit of a server by rendezvous hashing: one
-// in the server's region if there is any, since most requests come from there. It is
-// empty if no VM is known, or if it is this VM and others may have replaced it.
+// limitOwner returns the VM that owns the limit of a server. It is empty if no VM is
+// known, or if it is this VM and others may have replaced it.
 func (p *Picker) limitOwner(s *server) string {
+	owner := p.ownerOf(s)
+	if owner == p.vm && !p.mayOwnLimits {
+		return ""
+	}
+	return owner
+}
+
+// ownerOf returns the VM that owns a server by rendezvous hashing: one in the server's
+// region if there is any, since most requests come from there. It is empty if no VM is known.
+func (p *Picker) ownerOf(s *server) string {
 	owner, ownerIsLocal, ownerHash := "", false, uint64(0)
 	for _, vm := range p.activeVMs {
 		local, hash := vm.Region == s.registration.Region, mix(s.hash^hashString(vm.Name))
@@ -118,12 +128,15 @@
 			owner, ownerIsLocal, ownerHash = vm.Name, local, hash
 		}
 	}
-	if owner == p.vm && !p.mayOwnLimits {
-		return ""
-	}
 	return owner
 }
 
+// Owns reports whether this VM owns a server, as far as it knows.
+func (p *Picker) Owns(registration *steering.Server) bool {
+	s := p.servers[registration.ID]
+	return s != nil && p.ownerOf(s) == p.vm
+}
+
 // LimitedServers returns the number of servers that name a limit.
 func (p *Picker) LimitedServers() int { return len(p.limits) }
 
--- a/entry/gateway/poison.go
+++ b/entry/gateway/poison.go
@@ -103,20 +103,26 @@
 }
 
 // pickIsolated selects a server. A suspect request goes to a server that has no other
-// one in progress, so that the next crash shows which of them caused it. The caller holds
-// mu.
+// one in progress, so that the next crash shows which of them caused it: first to one of
+// those that this VM alone uses for suspect requests, because it does not know which ones
+// other VMs have in progress. The caller holds mu.
 func (r *request) pickIsolated() placement.Choice {
 	n := r.node
-	if !r.suspect || r.placement.Excluded != nil || len(n.suspectsInProgress) == 0 {
+	if !r.suspect || r.placement.Excluded != nil {
 		return n.picker.Pick(n.now(), &r.placement)
 	}
-	r.placement.Excluded = func(s *steering.Server) bool { return n.suspectsInProgress[s.ID] > 0 }
-	choice := n.picker.Pick(n.now(), &r.placement)
-	r.placement.Excluded = nil
-	if choice.Server == nil {
-		choice = n.picker.Pick(n.now(), &r.placement)
+	defer func() { r.placement.Excluded = nil }()
+	isBusy := func(s *steering.Server) bool { return n.suspectsInProgress[s.ID] > 0 }
+	r.placement.Excluded = func(s *steering.Server) bool { return isBusy(s) || !n.picker.Owns(s) }
+	if choice := n.picker.Pick(n.now(), &r.placement); choice.Server != nil && choice.Departure == placement.NoDeparture {
+		return choice
+	}
+	r.placement.Excluded = isBusy
+	if choice := n.picker.Pick(n.now(), &r.placement); choice.Server != nil {
+		return choice
 	}
-	return choice
+	r.placement.Excluded = nil
+	return n.picker.Pick(n.now(), &r.placement)
 }
 
 // finishSuspect records what an attempt that was sent at sentAt says about the request and
