ratelimit: owners borrow earlier

Cause: a loan was requested when tokens for 1.5 round trips were left, and the demand that decides it follows a move with a half-life of 150 ms: the answer came after the last token. Change: three round trips, 100 ms.

--- a/core/ratelimit/borrow.go
+++ b/core/ratelimit/borrow.go
@@ -29,7 +29,7 @@
 	maxReserve  = 0.5
 	// An owner borrows when it has tokens for fewer than borrowAheadTrips round trips to
 	// its lenders at the present demand, and then borrows for borrowTrips of them.
-	borrowAheadTrips = 1.5
+	borrowAheadTrips = 3
 	borrowTrips      = 3
 	// defaultTripTime is assumed before a lender has answered.
 	defaultTripTime = 50 * time.Millisecond
@@ -41,7 +41,7 @@
 	maxBorrowBackoff = 2 * time.Second
 	// useHalfLife is the time in which past requests count half in the demand that
 	// decides what is lent and borrowed. It is short, because callers move at once.
-	useHalfLife = 150 * time.Millisecond
+	useHalfLife = 100 * time.Millisecond
 )
 
 // recentUse measures a demand that may change at once.
