standin/soak: another writer leaves odd registrations

Ten rows, one written each 300 ms: nested 9,000 times, numbers too large or not whole, ports out of range, host names, an id with a line break.

--- a/standin/soak/doc.go
+++ b/standin/soak/doc.go
@@ -15,6 +15,8 @@
 //   - a request that crashes the servers which run it is kept away from them;
 //   - requests are served again after the faults.
 //
+// Another writer leaves odd registrations of backend servers in the store throughout.
+//
 // Gateways may be replaced by another build of the program, one after the other, so that
 // two builds run side by side.
 //
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -365,6 +365,7 @@
 		callers.Go(func() { c.run(callCtx, rng) })
 	}
 	go tb.copyStore(callCtx)
+	go tb.writeOddRows(callCtx)
 	plan := options.Plan
 	if plan == nil {
 		plan = Plan(options.Seed, options.FaultPeriod, gatewayCount, serverCount)
