upstream, forward, once: a response with a status that no response has is not an answer

Callers got responses with status 000 as answers (gateway), or their connection was closed without one (entry: WriteHeader panics below 100; the outcome was stored before, so that each repetition with the same Idempotency-Key ended likewise).

Cause: net/http.ReadResponse takes any three digits, also with a sign, any version of one digit each and any byte in the reason phrase. Nothing looked at them after it.

core/httpsyntax checks what net/http lets through: status 200 to 599 for final responses (RFC 9110, section 15; 101 is never asked for), version 1.x, no control characters. A lookup goes to another server, the outcome of a booking is unknown. A stored outcome with such a status, which earlier builds wrote, is reported as lost and not replayed.

Ruled out: the hub, the store and the health polls of the entry process take 200 alone (the store: statuses that it lists).

--- a/core/once/request.go
+++ b/core/once/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 	"github.com/cassiawind/cassiawind/core/tableop"
 	"github.com/cassiawind/cassiawind/platform"
 )
@@ -304,8 +305,12 @@
 	return rq.handleRow(now, r)
 }
 
-// respondFromRecord responds with the outcome of an earlier request.
+// respondFromRecord responds with the outcome of an earlier request. A record with a status
+// that no response has is not an outcome that can be returned.
 func (rq *Request) respondFromRecord(record Record) Step {
+	if httpsyntax.CheckStatus(record.Status) != nil {
+		return rq.respond(OutcomeLost, 0)
+	}
 	rq.outcome = record
 	if record.Object == "" {
 		return rq.respondWithStored(record.Body)
--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
 
@@ -41,6 +42,8 @@
 	// ErrIncompleteResponse means that the connection failed before the
 	// complete response was received.
 	ErrIncompleteResponse = errors.New("connection failed before the complete response was received")
+	// ErrMalformedResponse means that the response is not valid HTTP.
+	ErrMalformedResponse = errors.New("response of the backend server is not valid HTTP")
 	// ErrRequestIDMismatch means that the response carries the id of another
 	// request.
 	ErrRequestIDMismatch = errors.New("response of the backend server carries the id of another request")
@@ -48,24 +51,23 @@
 
 // transports holds the HTTP transports to the backend servers.
 type transports struct {
-	lookup  *http.Transport
-	booking *http.Transport
+	lookup, booking http.RoundTripper
 }
 
 func newTransports() *transports {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &transports{
-		lookup: &http.Transport{
+		lookup: httpsyntax.NewTransport(&http.Transport{
 			DialContext: dial, IdleConnTimeout: lookupIdleTimeout, MaxIdleConnsPerHost: 64,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes, DisableCompression: true,
-		},
+		}),
 		// Every booking opens its own connection. On a reused connection that
 		// the backend server closes at the same moment, it would be unknown
 		// whether the booking was run.
-		booking: &http.Transport{
+		booking: httpsyntax.NewTransport(&http.Transport{
 			DialContext: dial, DisableKeepAlives: true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes, DisableCompression: true,
-		},
+		}),
 	}
 }
 
@@ -76,7 +78,7 @@
 	server balance.Server
 	// responseTimeout bounds the time until the response headers arrive.
 	responseTimeout time.Duration
-	transport       *http.Transport
+	transport       http.RoundTripper
 
 	connected atomic.Bool
 	timedOut  atomic.Bool
@@ -151,6 +153,8 @@
 		return errors.Wrap(ErrConnectFailed, err.Error())
 	case a.timedOut.Load():
 		return ErrResponseTimeout
+	case errors.Is(err, httpsyntax.ErrInvalid):
+		return errors.Wrap(ErrMalformedResponse, err.Error())
 	default:
 		return errors.Wrap(ErrIncompleteResponse, err.Error())
 	}
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
@@ -258,12 +259,7 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, false, c.noResponseError(err)
 	}
-	c.headLimit.remaining = maxHeadBytes - c.br.Buffered()
-	httpResponse, err := http.ReadResponse(c.br, &http.Request{Method: call.Method})
-	for err == nil && httpResponse.StatusCode >= 100 && httpResponse.StatusCode < 200 {
-		httpResponse, err = http.ReadResponse(c.br, &http.Request{Method: call.Method})
-	}
-	c.headLimit.remaining = unlimited
+	httpResponse, err := c.readHead(call)
 	if err != nil {
 		return nil, false, c.badResponseError(err)
 	}
@@ -283,6 +279,21 @@
 	return response, !httpResponse.Close && isSelfDelimited(httpResponse), nil
 }
 
+// readHead reads the head of a final response. It skips the interim responses before it.
+func (c *conn) readHead(call *Call) (*http.Response, error) {
+	c.headLimit.remaining = maxHeadBytes - c.br.Buffered()
+	defer func() { c.headLimit.remaining = unlimited }()
+	for {
+		response, err := http.ReadResponse(c.br, &http.Request{Method: call.Method})
+		if err != nil {
+			return nil, err
+		}
+		if httpsyntax.CheckInterimResponse(response) != nil {
+			return response, httpsyntax.CheckResponse(response)
+		}
+	}
+}
+
 // belongsTo reports whether a response is the one to a call. A rejection without an id is
 // accepted only on a connection without an earlier request, whose rejection it may repeat.
 func (c *conn) belongsTo(call *Call, response adapter.ServerHeaders) bool {
