upstream, forward, hubs, health, store: a response with an invalid field name is not an answer

Callers got responses with lines such as "X Y: 1", and with "Transfer-Encoding : chunked" a body that held the chunk framing.

Cause: textproto keeps names with a blank, unchanged, so that later code does not know them ("Transfer-Encoding " frames nothing). Heads of interim responses and trailers were not looked at either.

httpsyntax.CheckFields compares names and values of heads, interim heads and trailers with the grammar. http.Transport gets the check as a RoundTripper around it, so that the store, hubs, the health polls of the entry process and the command line have it too; a write to the store has an unknown outcome then, also if the status says that it was not done. JSON answers of hubs and health polls are read to the end of the body, since only there a broken one shows. Stored outcomes with such fields are reported as lost.

A response of unknown length whose trailers are not valid has been passed on by the entry process before they are read: its connection is cut without the last chunk. The peers' protocol is HTTP/2, which has no such lines.

--- a/cassiawind/query.go
+++ b/cassiawind/query.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 )
 
 // queryTimeout bounds one query to an entry VM.
@@ -31,7 +33,7 @@
 // body.
 func queryEntryVM(address, path string, query url.Values) ([]byte, error) {
 	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
-	client := &http.Client{Timeout: queryTimeout}
+	client := &http.Client{Timeout: queryTimeout, Transport: httpsyntax.NewTransport(&http.Transport{})}
 	resp, err := client.Get(u.String())
 	if err != nil {
 		return nil, errors.Wrap(ErrQuery, err.Error())
--- a/core/httpsyntax/httpsyntax.go
+++ b/core/httpsyntax/httpsyntax.go
@@ -29,12 +29,31 @@
 	return nil
 }
 
+// CheckFields returns an error for header or trailer fields with a name that is not a token, such
+// as one with a blank, or a value with control characters.
+func CheckFields(fields map[string][]string) error {
+	for name, values := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrInvalid, "field name %.60q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return errors.Wrapf(ErrInvalid, "value of field %.60q", name)
+			}
+		}
+	}
+	return nil
+}
+
 // CheckResponse checks the head of a final response that was read by net/http.
 func CheckResponse(r *http.Response) error {
 	if err := CheckStatus(r.StatusCode); err != nil {
 		return err
 	}
-	return checkStatusLine(r)
+	if err := checkStatusLine(r); err != nil {
+		return err
+	}
+	return CheckFields(r.Header)
 }
 
 // CheckInterimResponse checks a response with a status from 100 to 199 that was read by net/http.
@@ -42,7 +61,10 @@
 	if r.StatusCode < minStatus || r.StatusCode >= minFinalStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return errors.Wrapf(ErrInvalid, "interim status %03d", r.StatusCode)
 	}
-	return checkStatusLine(r)
+	if err := checkStatusLine(r); err != nil {
+		return err
+	}
+	return CheckFields(r.Header)
 }
 
 // checkStatusLine checks the status line apart from the status.
--- a/core/httpsyntax/httpsyntaxtest/cases.go
+++ b/core/httpsyntax/httpsyntaxtest/cases.go
@@ -46,3 +46,42 @@
 	}
 	return responses
 }
+
+// InvalidFields returns responses of which a header or trailer line is not valid.
+func InvalidFields(fields, body string) map[string]string {
+	responses := make(map[string]string)
+	for _, line := range []string{
+		"X Y: 1", "X-Y : 1", "Transfer-Encoding : chunked", "Content-Length : 1", " X-Y: 1", "X\tY: 1", "X\x00Y: 1", "X\x01Y: 1", "X\x7fY: 1", "X\xe4Y: 1",
+		"X(Y): 1", "X@Y: 1", ": 1", " : 1", "X-Y", "X-Y: a\x00b", "X-Y: a\rb", "X-Y: a\x7fb", "X-Y: a\x01b", "X-Y\r: 1",
+	} {
+		responses["head "+strconv.Quote(line)] = head("HTTP/1.1 200 OK", line+"\n"+fields+length(body)) + body
+		responses["interim "+strconv.Quote(line)] = head("HTTP/1.1 103 Early Hints", line) + head("HTTP/1.1 200 OK", fields+length(body)) + body
+		responses["trailer "+strconv.Quote(line)] = head("HTTP/1.1 200 OK", fields+"\nTransfer-Encoding: chunked") + chunked(body) + line + "\r\n\r\n"
+	}
+	responses["chunks behind a blank"] = head("HTTP/1.1 200 OK", fields+"\nTransfer-Encoding : chunked"+length(chunked(body)+"\r\n")) + chunked(body) + "\r\n"
+	return responses
+}
+
+// chunked returns a body in one chunk, up to where trailers may follow.
+func chunked(body string) string {
+	return strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n"
+}
+
+// ValidFields returns responses with unusual header or trailer lines that are valid.
+func ValidFields(fields, body string) map[string]ValidResponse {
+	responses := make(map[string]ValidResponse)
+	for _, line := range []string{
+		"!#$%&'*+-.^_`|~09az: 1", "x: ", "X:", "X:1", "X: \t a\tb \t", "X: a\xe4\xffb", "X: a\n  folded", "X: 1\nX: 2", "X: a:b: c", "X" + strings.Repeat("x", 8000) + ": 1",
+		"X: " + strings.Repeat("x", 30_000), "Connection: close, x-y\nX-Y: 1",
+	} {
+		name := strconv.Quote(line[:min(len(line), 40)])
+		responses["head "+name] = ValidResponse{head("HTTP/1.1 200 OK", line+"\n"+fields+length(body)) + body, 200}
+		responses["interim "+name] = ValidResponse{head("HTTP/1.1 103 Early Hints", line) + head("HTTP/1.1 200 OK", fields+length(body)) + body, 200}
+	}
+	chunks := head("HTTP/1.1 200 OK", fields+"\nTRANSFER-encoding: Chunked")
+	responses["two interim responses"] = ValidResponse{head("HTTP/1.1 100 Continue", "") + head("HTTP/1.1 199 Odd", "X: 1") + head("HTTP/1.1 200 OK", fields+length(body)) + body, 200}
+	responses["trailers"] = ValidResponse{chunks + chunked(body) + "x!y: a\xe4\tb\r\nx: \r\n\r\n", 200}
+	responses["chunk extensions"] = ValidResponse{chunks + "000" + strings.Replace(chunked(body), "\r\n", ";a=\"b\"\r\n", 1) + "\r\n", 200}
+	responses["lines without carriage returns"] = ValidResponse{strings.ReplaceAll(head("HTTP/1.1 200 OK", fields+length(body)), "\r\n", "\n") + body, 200}
+	return responses
+}
--- a/core/once/request.go
+++ b/core/once/request.go
@@ -305,10 +305,10 @@
 	return rq.handleRow(now, r)
 }
 
-// respondFromRecord responds with the outcome of an earlier request. A record with a status
-// that no response has is not an outcome that can be returned.
+// respondFromRecord responds with the outcome of an earlier request. A record whose status or
+// header no valid response has is not an outcome that can be returned.
 func (rq *Request) respondFromRecord(record Record) Step {
-	if httpsyntax.CheckStatus(record.Status) != nil {
+	if httpsyntax.CheckStatus(record.Status) != nil || httpsyntax.CheckFields(record.Header) != nil {
 		return rq.respond(OutcomeLost, 0)
 	}
 	rq.outcome = record
--- a/entry/bodies/bodies.go
+++ b/entry/bodies/bodies.go
@@ -2,7 +2,12 @@
 // they have bytes.
 package bodies
 
-import "io"
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
 
 const (
 	// minBytes is the memory that is allocated first for a body of unknown length, and
@@ -48,3 +53,23 @@
 	copy(larger, buf)
 	return larger
 }
+
+// ErrTrailingData means that a body goes on after its JSON value.
+var ErrTrailingData = errors.New("data after the JSON value")
+
+// DecodeJSON decodes a body that consists of one JSON value. It reads the body to its end,
+// because only there a broken one shows.
+func DecodeJSON(r io.Reader, value any) error {
+	decoder := json.NewDecoder(r)
+	if err := decoder.Decode(value); err != nil {
+		return err
+	}
+	switch _, err := decoder.Token(); err {
+	case io.EOF:
+		return nil
+	case nil:
+		return ErrTrailingData
+	default:
+		return err
+	}
+}
--- a/entry/forward/invalid_test.go
+++ b/entry/forward/invalid_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -97,13 +98,51 @@
 	requireValid(t, httpsyntaxtest.ValidStatusLines("X-Other: 1", "hi"), "hi")
 }
 
+// Guards against responses with an odd field name, whose line or whose chunk framing reaches
+// the caller.
+func TestResponseWithInvalidFields(t *testing.T) {
+	invalid := httpsyntaxtest.InvalidFields("X-Other: 1", "hi")
+	for name := range invalid {
+		if strings.HasPrefix(name, "trailer") {
+			// The head and the body of a response of unknown length are passed on before its
+			// trailers are read.
+			requireBreaksOff(t, name, invalid[name])
+			delete(invalid, name)
+		}
+	}
+	requireInvalid(t, invalid)
+	requireValid(t, httpsyntaxtest.ValidFields("X-Other: 1", "hi"), "hi")
+}
+
+// requireBreaksOff checks that a caller of a lookup does not get a complete response, and that
+// the outcome of a booking which is stored is unknown.
+func requireBreaksOff(t *testing.T, name, text string) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		address, requests := rawServer(t, text)
+		f := newFixtureWithServers(t, []declare.BackendServer{serverAt("a", address)})
+		resp := f.do(t, "GET", "/lots/1", "")
+		_, err := io.ReadAll(resp.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		requests.Store(0)
+		for range 2 {
+			_, run := decodeRejection(t, f.do(t, "POST", "/book/1", "x", "Idempotency-Key", "k"))
+			require.Equal(t, problem.MayHaveRun, run)
+		}
+		require.Equal(t, int32(1), requests.Load())
+	})
+}
+
 // Guards against a stored outcome that an earlier build took from a broken answer: it is not an
 // outcome that can be returned.
 func TestStoredOutcomeThatIsNoResponse(t *testing.T) {
 	outcomes := map[string]once.Record{
-		"status 000": {Status: 0, Body: []byte("hi")},
-		"status 099": {Status: 99, Body: []byte("hi")},
-		"status 999": {Status: 999, Body: []byte("hi")},
+		"status 000":  {Status: 0, Body: []byte("hi")},
+		"status 099":  {Status: 99, Body: []byte("hi")},
+		"status 999":  {Status: 999, Body: []byte("hi")},
+		"field name":  {Status: 200, Header: map[string][]string{"X Y": {"1"}}, Body: []byte("hi")},
+		"field value": {Status: 200, Header: map[string][]string{"X-Y": {"a\x00b"}}, Body: []byte("hi")},
 	}
 	for name, outcome := range outcomes {
 		t.Run(name, func(t *testing.T) {
--- a/entry/gateway/invalid_test.go
+++ b/entry/gateway/invalid_test.go
@@ -26,7 +26,9 @@
 
 // invalidResponses returns responses that are not valid HTTP/1.1.
 func invalidResponses(body string) map[string]string {
-	return httpsyntaxtest.InvalidStatusLines(responseFields, body)
+	responses := httpsyntaxtest.InvalidStatusLines(responseFields, body)
+	maps.Copy(responses, httpsyntaxtest.InvalidFields(responseFields, body))
+	return responses
 }
 
 // newNetworkNode returns a node that reaches its backend servers over the network.
@@ -125,7 +127,7 @@
 // Guards against a health check that takes a response which is not valid HTTP for that of a
 // server in good health.
 func TestInvalidResponseToAHealthCheck(t *testing.T) {
-	responses := invalidResponses("")
+	responses := invalidResponses("hi")
 	maps.DeleteFunc(responses, func(_, text string) bool { return text[9:12] != "200" })
 	responses["valid"] = "HTTP/1.1 200 OK\r\nX-Instance-Id: s1\r\nX-Server-Load: 1,0,4\r\nContent-Length: 0\r\n\r\n"
 	for name, text := range responses {
@@ -150,3 +152,17 @@
 		})
 	}
 }
+
+// Guards against a response of a hub that is not valid HTTP and whose rows are used.
+func TestInvalidResponseOfAHub(t *testing.T) {
+	read := func(t *testing.T, text string) error {
+		address, _ := countedText(t, text)
+		return newNetworkNode(nil).readFromHub(context.Background(), address)
+	}
+	for name, text := range invalidResponses("{}") {
+		t.Run(name, func(t *testing.T) { require.ErrorIs(t, read(t, text), ErrHubRead) })
+	}
+	for name, valid := range httpsyntaxtest.ValidFields(responseFields, "{}") {
+		t.Run(name, func(t *testing.T) { require.NoError(t, read(t, valid.Text)) })
+	}
+}
--- a/entry/gateway/net.go
+++ b/entry/gateway/net.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 )
 
 // keepAliveConfig detects connections whose peer no longer responds. After two
@@ -54,9 +56,11 @@
 	storeIdleTimeout = 30 * time.Second
 )
 
-func newStoreTransport() *http.Transport {
+func newStoreTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, DisableCompression: true}
+	return httpsyntax.NewTransport(&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
+	})
 }
 
 func joinHostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
--- a/entry/gateway/replica.go
+++ b/entry/gateway/replica.go
@@ -16,6 +16,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/exchange"
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
+	"github.com/cassiawind/cassiawind/entry/bodies"
 	"github.com/cassiawind/cassiawind/platform"
 	"github.com/cassiawind/cassiawind/platform/adapter"
 )
@@ -208,9 +210,9 @@
 
 func newHubClient() *http.Client {
 	dialer := &net.Dialer{Timeout: hubDialTimeout, KeepAliveConfig: keepAliveConfig, Control: setTCPUserTimeout}
-	return &http.Client{Timeout: hubReadTimeout, Transport: &http.Transport{
+	return &http.Client{Timeout: hubReadTimeout, Transport: httpsyntax.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeIdleTimeout,
-	}}
+	})}
 }
 
 // hubReadLoop reads from a hub the changes that its heartbeats announce. A hub that does not
@@ -270,7 +272,7 @@
 		return errors.Wrapf(ErrHubRead, "status %d", resp.StatusCode)
 	}
 	var changes map[string]tableChanges
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxHubResponseBytes)).Decode(&changes); err != nil {
+	if err := bodies.DecodeJSON(io.LimitReader(resp.Body, maxHubResponseBytes), &changes); err != nil {
 		return errors.Wrap(ErrHubRead, err.Error())
 	}
 	n.metrics.Count(1, "relay", "read")
--- a/entry/service/health.go
+++ b/entry/service/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/balance"
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 const (
@@ -47,11 +48,11 @@
 func NewPoller() *Poller {
 	return &Poller{client: &http.Client{
 		Timeout: pollTimeout,
-		Transport: &http.Transport{
+		Transport: httpsyntax.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     idlePollIntervals * pollInterval,
 			DialContext:         (&net.Dialer{Timeout: pollTimeout}).DialContext,
-		},
+		}),
 	}}
 }
 
@@ -135,7 +136,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return h, errors.Wrap(ErrInvalidReport, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&h); err != nil {
+	if err := bodies.DecodeJSON(io.LimitReader(resp.Body, maxHealthBytes), &h); err != nil {
 		return h, errors.Wrap(ErrInvalidReport, err.Error())
 	}
 	if _, known := stateByName[h.State]; !known {
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
@@ -85,6 +86,9 @@
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLarge
 	}
+	if err == nil {
+		err = httpsyntax.CheckFields(r.Trailer)
+	}
 	if err != nil {
 		reader.release()
 	}
--- a/entry/upstream/invalid_test.go
+++ b/entry/upstream/invalid_test.go
@@ -54,3 +54,10 @@
 	requireInvalid(t, httpsyntaxtest.InvalidStatusLines(responseFields, "hi"))
 	requireValid(t, httpsyntaxtest.ValidStatusLines(responseFields, "hi"), "hi")
 }
+
+// Guards against responses with an odd field name, whose line or whose chunk framing reaches
+// the caller.
+func TestResponseWithInvalidFields(t *testing.T) {
+	requireInvalid(t, httpsyntaxtest.InvalidFields(responseFields, "hi"))
+	requireValid(t, httpsyntaxtest.ValidFields(responseFields, "hi"), "hi")
+}
