ingress: a request with an invalid field name is rejected

The gateway ran requests with "Content-Length : 35", "Transfer-Encoding : chunked" or "X Y: 1" and read their body as the caller's next request (RFC 9112, 5.1: 400). Same cause as for responses: textproto keeps such names, and later code does not know them.

Heads and trailers are checked with httpsyntax.CheckFields; the caller gets 400 and the connection ends.

Evidence, real sockets: TestRequestWithInvalidFields failed in 9 of 9 requests before, in three of them the body was run as a request. TestUnusualRequestsAreServed (7 valid ones) passes before and after. Ruled out: the entry process, whose net/http server checks names.

--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cassiawind/cassiawind/core/httpsyntax"
 	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
@@ -362,7 +363,7 @@
 	case err != nil:
 		return nil, http.StatusBadRequest, nil
 	}
-	if status := checkTarget(httpRequest); status != 0 {
+	if status := checkHead(httpRequest); status != 0 {
 		return nil, status, nil
 	}
 	r := &Request{Request: httpRequest, Arrived: arrived}
@@ -370,11 +371,10 @@
 	return c.readBody(r, limits)
 }
 
-// checkTarget rejects requests whose target is not a path. The framing of the
-// body needs no check, because the body is read completely and framed again for
-// the backend server.
-func checkTarget(r *http.Request) int {
-	if r.ProtoMajor != 1 || !strings.HasPrefix(r.RequestURI, "/") {
+// checkHead rejects requests whose target is not a path or whose fields are not valid: they may
+// frame the body in another way than net/http reads it.
+func checkHead(r *http.Request) int {
+	if r.ProtoMajor != 1 || !strings.HasPrefix(r.RequestURI, "/") || httpsyntax.CheckFields(r.Header) != nil {
 		return http.StatusBadRequest
 	}
 	return 0
@@ -410,6 +410,9 @@
 	case int64(len(body)) > limits.MaxBodyBytes:
 		c.releaseBody(r)
 		return nil, http.StatusRequestEntityTooLarge, nil
+	case httpsyntax.CheckFields(r.Trailer) != nil:
+		c.releaseBody(r)
+		return nil, http.StatusBadRequest, nil
 	}
 	r.Body = body
 	return r, 0, nil
