httpsyntax: HTTP/1.0 messages with a transfer coding are not used

Callers got the chunk framing of a backend server as the body if the response said HTTP/1.0 and Transfer-Encoding; the gateway ran such a request with another body than the caller's, and with "Connection: keep-alive" the body as the next request. RFC 9112, 6.1: such a message is framed wrongly, whatever its length says.

Cause: net/http removes the Transfer-Encoding of HTTP/1.0 messages without a trace and reads the body without it.

HeadRecorder keeps the head of messages whose first line may say HTTP/1.0, below the parser, and looks for the field after it; nothing is kept of HTTP/1.1 messages. HTTP/1.0 after an interim response is refused as well, since that version has none.

--- a/core/httpsyntax/httpsyntax.go
+++ b/core/httpsyntax/httpsyntax.go
@@ -67,6 +67,18 @@
 	return CheckFields(r.Header)
 }
 
+// errInterimOf10 means that a server uses a part of HTTP/1.1 that the version of its response does not
+// have.
+var errInterimOf10 = errors.Wrap(ErrInvalid, version10+" after an interim response")
+
+// CheckAfterInterim checks a final response that follows interim responses.
+func CheckAfterInterim(r *http.Response) error {
+	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
+		return errInterimOf10
+	}
+	return nil
+}
+
 // checkStatusLine checks the status line apart from the status.
 func checkStatusLine(r *http.Response) error {
 	if r.ProtoMajor != 1 {
--- a/core/httpsyntax/httpsyntaxtest/cases.go
+++ b/core/httpsyntax/httpsyntaxtest/cases.go
@@ -67,6 +67,29 @@
 	return strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n"
 }
 
+// CodingOfHTTP10 returns responses with the version HTTP/1.0 and a transfer coding, which it does
+// not have.
+func CodingOfHTTP10(fields, body string) map[string]string {
+	chunks := chunked(body) + "\r\n"
+	return map[string]string{
+		"coding":            head("HTTP/1.0 200 OK", fields+"\nTransfer-Encoding: chunked") + chunks,
+		"coding and length": head("HTTP/1.0 200 OK", fields+"\ntransfer-encoding:chunked"+length(chunks)) + chunks,
+		"long head":         head("HTTP/1.0 200 OK", fields+"\nX: "+strings.Repeat("x", 20_000)+"\nTRANSFER-ENCODING: chunked"+length(chunks)) + chunks,
+		"without a body":    head("HTTP/1.0 200 OK", fields+"\nTransfer-Encoding: chunked\nContent-Length: 0"),
+		"interim before":    head("HTTP/1.1 103 Early Hints", "X: 1") + head("HTTP/1.0 200 OK", fields+"\nTransfer-Encoding: chunked"+length(chunks)) + chunks,
+	}
+}
+
+// ValidHTTP10 returns valid responses with the version HTTP/1.0. All of them have a length.
+func ValidHTTP10(fields, body string) map[string]ValidResponse {
+	return map[string]ValidResponse{
+		"length":           {head("HTTP/1.0 200 OK", fields+length(body)) + body, 200},
+		"keep-alive":       {head("HTTP/1.0 200 OK", fields+"\nConnection: keep-alive"+length(body)) + body, 200},
+		"other name":       {head("HTTP/1.0 200 OK", fields+"\nX-Transfer-Encoding: chunked"+length(body)) + body, 200},
+		"bytes after head": {head("HTTP/1.0 200 OK", fields+"\nConnection: close"+length(body)) + body + "\r\nTransfer-Encoding: chunked\r\n\r\n", 200},
+	}
+}
+
 // ValidFields returns responses with unusual header or trailer lines that are valid.
 func ValidFields(fields, body string) map[string]ValidResponse {
 	responses := make(map[string]ValidResponse)
--- a/entry/forward/invalid_test.go
+++ b/entry/forward/invalid_test.go
@@ -134,6 +134,13 @@
 	})
 }
 
+// Guards against a response with a transfer coding that its version does not have, whose chunk
+// framing reaches the caller as the body.
+func TestCodingOfHTTP10(t *testing.T) {
+	requireInvalid(t, httpsyntaxtest.CodingOfHTTP10("X-Other: 1", "hi"))
+	requireValid(t, httpsyntaxtest.ValidHTTP10("X-Other: 1", "hi"), "hi")
+}
+
 // Guards against a stored outcome that an earlier build took from a broken answer: it is not an
 // outcome that can be returned.
 func TestStoredOutcomeThatIsNoResponse(t *testing.T) {
--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -102,6 +103,7 @@
 type headLimitReader struct {
 	r         io.Reader
 	remaining int
+	recorder  httpsyntax.HeadRecorder
 	// firstByte was read before and is returned first, if hasFirstByte is set.
 	firstByte    byte
 	hasFirstByte bool
@@ -127,6 +129,7 @@
 	}
 	n, err := h.r.Read(p)
 	h.remaining -= n
+	h.recorder.Record(p[:n])
 	return n, err
 }
 
@@ -347,7 +350,10 @@
 		return nil, 0, err
 	}
 	c.headLimit.remaining = max(0, limits.MaxHeaderBytes-c.br.Buffered())
+	read, _ := c.br.Peek(c.br.Buffered())
+	c.headLimit.recorder.BeginRequest(read)
 	httpRequest, err := http.ReadRequest(c.br)
+	err = cmp.Or(err, c.headLimit.recorder.End())
 	c.headLimit.remaining = unlimited
 	switch {
 	case errors.Is(err, errHeadTooLarge):
--- a/entry/ingress/invalid_test.go
+++ b/entry/ingress/invalid_test.go
@@ -75,6 +75,27 @@
 
 func getText(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
+// Guards against requests with a transfer coding that their version does not have: the body would
+// be read as the next request.
+func TestCodingOfHTTP10Request(t *testing.T) {
+	chunks := strconv.FormatInt(int64(len(smuggled)), 16) + "\r\n" + smuggled + "\r\n0\r\n\r\n"
+	for name, text := range map[string]string{
+		"coding":            "POST /a HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + smuggled,
+		"coding and length": "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: " + strconv.Itoa(len(chunks)) + "\r\n\r\n" + chunks,
+		"long head":         "POST /a HTTP/1.0\r\nX: " + strings.Repeat("x", 20_000) + "\r\ntransfer-encoding:chunked\r\nContent-Length: 0\r\n\r\n",
+		"long target":       "POST /" + strings.Repeat("x", 20_000) + " HTTP/1.0\r\ntransfer-encoding:chunked\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			statuses, bodies := exchange(t, text+getText("/b"))
+			require.Equal(t, []int{http.StatusBadRequest}, statuses)
+			require.Empty(t, bodies, "nothing is run")
+		})
+	}
+	statuses, bodies := exchange(t, "POST /a HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nhi"+getText("/b"))
+	require.Equal(t, []int{http.StatusOK, http.StatusOK}, statuses)
+	require.Equal(t, []string{"hi", ""}, bodies)
+}
+
 // Guards against valid requests that are rejected because they are unusual.
 func TestUnusualRequestsAreServed(t *testing.T) {
 	for name, text := range map[string]string{
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -33,6 +33,7 @@
 type headLimitReader struct {
 	r         io.Reader
 	remaining int
+	recorder  httpsyntax.HeadRecorder
 }
 
 // Read implements io.Reader.
@@ -42,6 +43,7 @@
 	}
 	n, err := h.r.Read(p[:min(len(p), h.remaining)])
 	h.remaining -= n
+	h.recorder.Record(p[:n])
 	return n, err
 }
 
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -283,14 +283,21 @@
 func (c *conn) readHead(call *Call) (*http.Response, error) {
 	c.headLimit.remaining = maxHeadBytes - c.br.Buffered()
 	defer func() { c.headLimit.remaining = unlimited }()
-	for {
+	for interim := false; ; interim = true {
+		read, _ := c.br.Peek(c.br.Buffered())
+		c.headLimit.recorder.BeginResponse(read)
 		response, err := http.ReadResponse(c.br, &http.Request{Method: call.Method})
+		err = cmp.Or(err, c.headLimit.recorder.End())
 		if err != nil {
 			return nil, err
 		}
-		if httpsyntax.CheckInterimResponse(response) != nil {
-			return response, httpsyntax.CheckResponse(response)
+		if httpsyntax.CheckInterimResponse(response) == nil {
+			continue
 		}
+		if interim {
+			err = httpsyntax.CheckAfterInterim(response)
+		}
+		return response, cmp.Or(err, httpsyntax.CheckResponse(response))
 	}
 }
 
--- a/entry/upstream/invalid_test.go
+++ b/entry/upstream/invalid_test.go
@@ -61,3 +61,10 @@
 	requireInvalid(t, httpsyntaxtest.InvalidFields(responseFields, "hi"))
 	requireValid(t, httpsyntaxtest.ValidFields(responseFields, "hi"), "hi")
 }
+
+// Guards against a response with a transfer coding that its version does not have, whose chunk
+// framing reaches the caller as the body.
+func TestCodingOfHTTP10(t *testing.T) {
+	requireInvalid(t, httpsyntaxtest.CodingOfHTTP10(responseFields, "hi"))
+	requireValid(t, httpsyntaxtest.ValidHTTP10(responseFields, "hi"), "hi")
+}
