upstream: the end of a connection that was reset during the upload is not the end of the response

A server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the caller got that part as the complete answer.

Cause: the operating system reports a reset once. The upload, which is written meanwhile, saw it (ECONNRESET); the read of the response then saw an end of the connection like one in good order. The error of the write was not looked at.

A response that only the end of its connection delimits now counts if the write did not fail. A write in progress is interrupted by its deadline first, so that its error is known: either it saw the reset, or the read saw a true end. EPIPE is the error after an end in good order (Linux sets it in CLOSE_WAIT, ECONNRESET otherwise), so that early answers whose server then resets are still passed on.

Ruled out: forward, which refuses responses without a length or chunks; responses with a length or chunks.

--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,6 +70,8 @@
 	ServerHeaders adapter.ServerHeaders
 	// reader counts the bytes of the body.
 	reader *bodyReader
+	// endsWithConn is set if only the end of the connection marked the end of the body.
+	endsWithConn bool
 }
 
 // Release tells that the body is no longer in use. Bodies that are not released take from
@@ -193,8 +196,14 @@
 	if err != nil && n == 0 {
 		return nil, false, c.noResponseError(err)
 	}
-	response, keep, err = c.readMatching(call)
-	return response, keep && err == nil, err
+	response, keep, readErr := c.readMatching(call)
+	if readErr != nil {
+		return nil, false, readErr
+	}
+	if err := endError(response, err); err != nil {
+		return nil, false, err
+	}
+	return response, keep && err == nil, nil
 }
 
 // roundTripLongBody reads the response while it writes the request: a server
@@ -202,21 +211,44 @@
 // follow on a reused connection, so the connection is kept only if all of it
 // was written before the response ended. The body is not copied behind the head.
 func (c *conn) roundTripLongBody(call *Call, head []byte) (*Response, bool, error) {
-	written := make(chan bool, 1)
+	written := make(chan error, 1)
 	go func() {
 		_, err := c.Write(head)
 		if err == nil {
 			_, err = c.Write(call.Body)
 		}
-		written <- err == nil
+		written <- err
 	}()
 	response, keep, err := c.readMatching(call)
+	if err != nil {
+		return nil, false, err
+	}
+	if response.endsWithConn {
+		// Interrupts a write that is in progress.
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		if err := endError(response, <-written); err != nil {
+			return nil, false, err
+		}
+		return response, false, nil
+	}
 	select {
-	case allWritten := <-written:
-		return response, keep && allWritten, err
+	case err := <-written:
+		return response, keep && err == nil, nil
 	default:
-		return response, false, err
+		return response, false, nil
+	}
+}
+
+// endError returns an error for a response that ends with its connection if the connection did not
+// end in good order. writeErr is the error of writing the request. The operating system reports a
+// failure of the connection once: if it reports it to the write, the read sees the end of the
+// connection. After an end in good order, a write fails with EPIPE.
+func endError(response *Response, writeErr error) error {
+	if !response.endsWithConn || writeErr == nil || errors.Is(writeErr, os.ErrDeadlineExceeded) || errors.Is(writeErr, syscall.EPIPE) {
+		return nil
 	}
+	response.Release()
+	return &CallError{ErrBroken, writeErr}
 }
 
 // readMatching reads responses until the one to this call arrives.
@@ -276,7 +308,8 @@
 		return nil, false, &CallError{ErrMalformed, errOtherRequest}
 	}
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, ServerHeaders: serverHeaders, reader: reader}
-	return response, !httpResponse.Close && isSelfDelimited(httpResponse), nil
+	response.endsWithConn = !isSelfDelimited(httpResponse)
+	return response, !httpResponse.Close && !response.endsWithConn, nil
 }
 
 // readHead reads the head of a final response. It skips the interim responses before it.
