httpsyntax: a write to the store whose connection was reset is not a success

The store's Put looks at the status alone.

The body of a response that only the end of its connection delimits now ends with an error behind Transport if the request could not be written; httptrace tells. The outcome of the write is unknown then.

--- a/core/httpsyntax/transport.go
+++ b/core/httpsyntax/transport.go
@@ -1,6 +1,7 @@
 package httpsyntax
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -8,10 +9,14 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // Transport is an http.RoundTripper that fails with ErrInvalid if the response of another one
-// is not valid HTTP/1.1. If the trailers are not valid, the body ends with that error.
+// is not valid HTTP/1.1. If the trailers are not valid, the body ends with that error. It ends with
+// io.ErrUnexpectedEOF if only the end of the connection marks its end and the request could not be
+// written: the failure of the connection may have reached the write alone.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that sends its requests through base.
@@ -32,40 +37,71 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn *recordedConn
-	interim := false
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			// A connection with TLS is another one.
-			if conn, _ = info.Conn.(*recordedConn); conn != nil {
-				conn.beginResponse()
-			}
-		},
-		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-			interim = true
-			return CheckFields(header)
-		},
-	}
+	e := new(exchange)
+	trace := &httptrace.ClientTrace{GotConn: e.gotConn, WroteRequest: e.wroteRequest, Got1xxResponse: e.gotInterim}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := check(response, conn, interim); err != nil {
+	if err := e.check(response); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
-	response.Body = &checkedBody{response.Body, response}
+	body := &checkedBody{ReadCloser: response.Body, response: response}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed {
+		body.written = e.written
+	}
+	response.Body = body
 	return response, nil
 }
 
-// check checks the head of a response that was read from a connection.
-func check(response *http.Response, conn *recordedConn, interim bool) error {
-	if conn != nil {
-		if err := conn.endHead(); err != nil {
+// exchange is what http.Transport tells of a request and its response. It sends a request again on
+// another connection if one that it reused was closed.
+type exchange struct {
+	mu sync.Mutex
+	// conn is the newest connection; nil if that is one with TLS.
+	conn *recordedConn
+	// written gets the result of writing the request to it.
+	written chan error
+	// interim is set once there was an interim response.
+	interim bool
+}
+
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.written = make(chan error, 1)
+	if e.conn, _ = info.Conn.(*recordedConn); e.conn != nil {
+		e.conn.beginResponse()
+	}
+}
+
+func (e *exchange) wroteRequest(info httptrace.WroteRequestInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case e.written <- info.Err:
+	default:
+	}
+}
+
+func (e *exchange) gotInterim(_ int, header textproto.MIMEHeader) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.interim = true
+	return CheckFields(header)
+}
+
+// check checks the head of the final response.
+func (e *exchange) check(response *http.Response) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		if err := e.conn.endHead(); err != nil {
 			return err
 		}
 	}
-	if interim {
+	if e.interim {
 		if err := CheckAfterInterim(response); err != nil {
 			return err
 		}
@@ -105,19 +141,40 @@
 	return c.head.End()
 }
 
-// checkedBody checks the trailers, which are known at the end of the body.
+// checkedBody checks what is known at the end of the body: the trailers, and whether the request was
+// written.
 type checkedBody struct {
 	io.ReadCloser
 	response *http.Response
+	// written gets the result of writing the request; nil if the end of the body is marked.
+	written chan error
 }
 
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if invalid := CheckFields(b.response.Trailer); invalid != nil {
+		if invalid := cmp.Or(CheckFields(b.response.Trailer), b.checkWritten()); invalid != nil {
 			return n, invalid
 		}
 	}
 	return n, err
 }
+
+// checkWritten waits until the request was written or could not be written, which happens at the
+// latest when http.Transport closes the connection at the end of the body.
+func (b *checkedBody) checkWritten() error {
+	if b.written == nil {
+		return nil
+	}
+	select {
+	case err := <-b.written:
+		if err != nil {
+			return errors.Wrap(io.ErrUnexpectedEOF, err.Error())
+		}
+		b.written = nil
+		return nil
+	case <-b.response.Request.Context().Done():
+		return b.response.Request.Context().Err()
+	}
+}
