bodies: bytes without end take neither the memory of the process nor what other requests need

A server in trouble sent bodies without end; the gateway, whose settings allow it 284 MB, had up to 348 MB with some long uploads beside, which the platform ends, and requests to sound servers failed because that server's bytes took their memory.

Cause: each of the two pools and the two listeners allowed 64 MiB for itself, of bytes that were read: buffers that double have up to twice as much, and the old one beside while they grow. All bodies drew on one amount, whatever their length and server. A body that arrives faster than it is parsed (one-byte chunks) kept the processor for whole time slices.

bodies.Memory counts buffers; the pools share one, the listeners another. Long bodies have 64 MiB as before, those of one server 48 MiB, bodies up to 1 MiB 16 MiB more, responses up to 16 KiB always fit. One body at a time is copied to a larger buffer. A buffer grows only for a byte that has arrived and never beyond the limit of the body. Bodies above 64 KiB leave the processor after each read.

Tests: TestBodiesInMemoryAreBounded fills both bounds now and adds that long bodies leave the rest to short ones.

--- a/entry/bodies/bodies.go
+++ b/entry/bodies/bodies.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"runtime"
 
 	"github.com/pkg/errors"
 )
@@ -14,44 +15,97 @@
 	// maxTrusted that for one whose length is announced: the sender may not send it.
 	minBytes   = 512
 	maxTrusted = 1 << 20
+	// yieldBytes is the length from which on a body leaves the processor to others after each read. A
+	// sender that is faster than this process would keep it for milliseconds otherwise.
+	yieldBytes = 64 << 10
 )
 
-// Read reads a body to its end. announced is its length, or -1 if that is not known. A body
-// that ends before its announced length is an error of type io.ErrUnexpectedEOF.
-func Read(r io.Reader, announced int64) ([]byte, error) {
-	buf := make([]byte, 0, max(minBytes, min(announced, maxTrusted)))
-	for {
-		if int64(len(buf)) == announced {
-			return buf, nil
-		}
-		if len(buf) == cap(buf) {
-			buf = grow(buf, announced)
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+// Errors of Read.
+var (
+	// ErrTooLarge means that a body is longer than it may be.
+	ErrTooLarge = errors.New("body too large")
+	// ErrMemoryFull means that the limits of the memory for bodies are reached.
+	ErrMemoryFull = errors.New("too many bodies in memory")
+)
+
+// Read reads a body of at most limit bytes to its end. announced is its length, or -1 if that is not
+// known. The memory of the returned body is that of the reservation, which is released if there is
+// an error. A body that ends before its announced length is an error of type io.ErrUnexpectedEOF.
+func Read(r io.Reader, announced, limit int64, reservation *Reservation) ([]byte, error) {
+	body, err := read(r, announced, limit, reservation)
+	if err != nil {
+		reservation.Release()
+		return nil, err
+	}
+	return body, nil
+}
+
+func read(r io.Reader, announced, limit int64, reservation *Reservation) ([]byte, error) {
+	if announced > limit {
+		return nil, ErrTooLarge
+	}
+	size := int64(minBytes)
+	if announced >= 0 {
+		size = min(announced, maxTrusted)
+	}
+	buf, err := grow(nil, min(size, limit), reservation)
+	for err == nil {
 		switch {
-		case err != nil && err != io.EOF:
-			return buf, err
 		case int64(len(buf)) == announced:
 			return buf, nil
-		case err == io.EOF && announced >= 0:
-			return buf, io.ErrUnexpectedEOF
-		case err == io.EOF:
-			return buf, nil
+		case len(buf) == cap(buf):
+			buf, err = readBeyond(r, buf, announced, limit, reservation)
+		default:
+			var n int
+			n, err = r.Read(buf[len(buf):cap(buf)])
+			buf = buf[:len(buf)+n]
+		}
+		if len(buf) >= yieldBytes {
+			runtime.Gosched()
 		}
 	}
+	switch {
+	case err != io.EOF:
+		return nil, err
+	case announced >= 0 && int64(len(buf)) != announced:
+		return nil, io.ErrUnexpectedEOF
+	}
+	return buf, nil
 }
 
-// grow returns the bytes with twice the memory, or with that of the announced length if this
-// suffices for it.
-func grow(buf []byte, announced int64) []byte {
-	size := int64(2 * cap(buf))
+// readBeyond reads one byte more than the buffer holds, and makes a larger buffer if there is one.
+func readBeyond(r io.Reader, buf []byte, announced, limit int64, reservation *Reservation) ([]byte, error) {
+	var next [1]byte
+	n, err := r.Read(next[:])
+	if n == 0 {
+		return buf, err
+	}
+	if int64(len(buf)) == limit {
+		return buf, ErrTooLarge
+	}
+	size := min(2*int64(cap(buf)), limit)
 	if announced >= 0 {
 		size = min(size, announced)
 	}
+	larger, growErr := grow(buf, size, reservation)
+	if growErr != nil {
+		return buf, growErr
+	}
+	return append(larger, next[0]), err
+}
+
+// grow returns a buffer of a size with the bytes of an earlier one.
+func grow(buf []byte, size int64, reservation *Reservation) ([]byte, error) {
+	if !reservation.resize(size) {
+		return buf, ErrMemoryFull
+	}
+	if len(buf) >= maxTrusted {
+		growing.Lock()
+		defer growing.Unlock()
+	}
 	larger := make([]byte, len(buf), size)
 	copy(larger, buf)
-	return larger
+	return larger, nil
 }
 
 // ErrTrailingData means that a body goes on after its JSON value.
--- a/entry/gateway/node.go
+++ b/entry/gateway/node.go
@@ -212,7 +212,8 @@
 		backendDialer = networkDialer{n}
 	}
 	n.sendDatagram, n.quarantineRows, n.uptime = n.sendUDP, n.store, n.readUptime
-	n.backendDialer, n.pool, n.relayPool = backendDialer, upstream.NewPool(backendDialer), upstream.NewPool(backendDialer)
+	responseMemory, requestMemory := upstream.NewBodyMemory(), ingress.NewBodyMemory()
+	n.backendDialer, n.pool, n.relayPool = backendDialer, upstream.NewPool(backendDialer, responseMemory), upstream.NewPool(backendDialer, responseMemory)
 	n.bounds.Store(&settings.Bounds)
 	options := DefaultOptions()
 	n.options.Store(&options)
@@ -222,8 +223,8 @@
 	n.watchers = map[string]*watcher{
 		adapter.TableOperator: n.operatorWatcher(), adapter.TableServers: n.serversWatcher(), adapter.TableVMs: n.vmsWatcher(),
 	}
-	n.ingress = ingress.NewServer(&handler{n})
-	n.relayServer = ingress.NewServer(&relayHandler{handler{n}})
+	n.ingress = ingress.NewServer(&handler{n}, requestMemory)
+	n.relayServer = ingress.NewServer(&relayHandler{handler{n}}, requestMemory)
 	n.newLinksContext()
 	return n
 }
--- a/entry/gateway/poison_test.go
+++ b/entry/gateway/poison_test.go
@@ -562,7 +562,7 @@
 func TestServerThatCrashesAgainUnderItsIDIsBlamed(t *testing.T) {
 	runInVirtualTime(t, &standInBackends{}, testConfig(), func(n *Node, serve func(*ingress.Request) *ingress.Response) {
 		servers := &crashOnRequest{}
-		n.pool = upstream.NewPool(servers)
+		n.pool = upstream.NewPool(servers, upstream.NewBodyMemory())
 		for start, status := range []int{502, 502, 503} {
 			position := platform.Position(10 + start)
 			servers.down.Store(false)
--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -56,8 +56,8 @@
 	Body []byte
 	// Arrived is when the first byte of the request was read.
 	Arrived time.Time
-	// bodyBytes is this request's part of Server.bodyBytes.
-	bodyBytes int64
+	// reservation is the memory of the body; nil without one.
+	reservation *bodies.Reservation
 }
 
 // Response is the HTTP response to one request.
@@ -402,53 +402,29 @@
 			return nil, 0, err
 		}
 	}
-	body, err := bodies.Read(&bodyCountingReader{c.server, r, io.LimitReader(r.Request.Body, limits.MaxBodyBytes+1)}, r.ContentLength)
+	reservation := c.server.bodyMemory.Reserve("")
+	body, err := bodies.Read(r.Request.Body, r.ContentLength, limits.MaxBodyBytes, reservation)
 	switch {
-	case errors.Is(err, errBodyMemoryFull):
-		c.releaseBody(r)
+	case errors.Is(err, bodies.ErrMemoryFull):
 		return nil, http.StatusServiceUnavailable, nil
+	case errors.Is(err, bodies.ErrTooLarge):
+		return nil, http.StatusRequestEntityTooLarge, nil
 	case err != nil && !isNetError(err) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, os.ErrDeadlineExceeded):
-		c.releaseBody(r)
 		return nil, http.StatusBadRequest, nil
 	case err != nil:
-		c.releaseBody(r)
 		return nil, 0, err
-	case int64(len(body)) > limits.MaxBodyBytes:
-		c.releaseBody(r)
-		return nil, http.StatusRequestEntityTooLarge, nil
 	case httpsyntax.CheckFields(r.Trailer) != nil:
-		c.releaseBody(r)
+		reservation.Release()
 		return nil, http.StatusBadRequest, nil
 	}
-	r.Body = body
+	r.Body, r.reservation = body, reservation
 	return r, 0, nil
 }
 
-// bodyCountingReader adds what it reads to the body memory of the server.
-type bodyCountingReader struct {
-	server  *Server
-	request *Request
-	r       io.Reader
-}
-
-// errBodyMemoryFull means that the request bodies in memory exceed
-// maxBodyMemoryBytes.
-var errBodyMemoryFull = errors.New("too many request bodies in memory")
-
-func (h *bodyCountingReader) Read(p []byte) (int, error) {
-	n, err := h.r.Read(p)
-	h.request.bodyBytes += int64(n)
-	if h.server.bodyBytes.Add(int64(n)) > maxBodyMemoryBytes {
-		return n, errBodyMemoryFull
-	}
-	return n, err
-}
-
-// releaseBody subtracts a request's body from the body memory of the server.
-func (c *conn) releaseBody(r *Request) {
-	if r != nil {
-		c.server.bodyBytes.Add(-r.bodyBytes)
-		r.bodyBytes = 0
+// releaseBody ends the use of a request's body.
+func (r *Request) releaseBody() {
+	if r != nil && r.reservation != nil {
+		r.reservation.Release()
 	}
 }
 
@@ -494,7 +470,7 @@
 		defer c.wg.Done()
 		defer c.server.requestFinished()
 		defer close(done)
-		defer c.releaseBody(r)
+		defer r.releaseBody()
 		defer func() { <-c.pipelineSlots }()
 		<-barrier
 		if c.isClosed() {
--- a/entry/ingress/ingress_test.go
+++ b/entry/ingress/ingress_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 // fakeHandler answers each request after the delay that its path states, and
@@ -76,7 +78,7 @@
 func runInVirtualTime(t *testing.T, h *fakeHandler, test func(s *Server, c net.Conn, br *bufio.Reader)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		s := NewServer(h)
+		s := NewServer(h, NewBodyMemory())
 		l := &pipeListener{conns: make(chan net.Conn, 1)}
 		client, server := net.Pipe()
 		l.conns <- server
@@ -215,17 +217,31 @@
 func TestBodiesInMemoryAreBounded(t *testing.T) {
 	h := newFakeHandler()
 	runInVirtualTime(t, h, func(s *Server, c net.Conn, br *bufio.Reader) {
-		s.bodyBytes.Store(maxBodyMemoryBytes - 10)
+		fill := func(size int64) error {
+			_, err := bodies.Read(zeros{}, size, maxBodyMemoryBytes, s.bodyMemory.Reserve(""))
+			return err
+		}
+		require.NoError(t, fill(maxBodyMemoryBytes))
+		require.ErrorIs(t, fill(bodies.ShortBytes+1), bodies.ErrMemoryFull, "the rest is for short bodies")
+		for range shortBodyReserveBytes/bodies.ShortBytes - 1 {
+			require.NoError(t, fill(bodies.ShortBytes))
+		}
+		require.NoError(t, fill(bodies.ShortBytes-10))
 		send(c, "POST /a HTTP/1.1\nHost: h\nContent-Length: 10\n\n0123456789POST /b HTTP/1.1\nHost: h\nContent-Length: 11\n\n0123456789a")
 		r, _ := receive(t, br)
 		require.Equal(t, 200, r.StatusCode)
 		r, _ = receive(t, br)
 		require.Equal(t, 503, r.StatusCode)
 		time.Sleep(time.Second)
-		require.Equal(t, int64(maxBodyMemoryBytes-10), s.bodyBytes.Load())
+		require.Equal(t, int64(maxBodyMemoryBytes+shortBodyReserveBytes-10), s.bodyMemory.Used())
 	})
 }
 
+// zeros is an endless reader.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
 // Guards against request smuggling, in which a part of a body is read as
 // another request: a body has one end, whatever lengths the request states.
 func TestNoRequestIsReadFromABody(t *testing.T) {
@@ -344,7 +360,7 @@
 // without an answer to their request, and against one that waits for idle ones.
 func TestConnectionAcceptedAfterTheStopIsAnswered(t *testing.T) {
 	synctest.Test(t, func(*testing.T) {
-		s := NewServer(newFakeHandler())
+		s := NewServer(newFakeHandler(), NewBodyMemory())
 		l := &pipeListener{conns: make(chan net.Conn, 2)}
 		go func() { _ = s.Serve(l) }()
 		s.Close()
@@ -373,7 +389,7 @@
 func TestNoRequestIsStartedAfterTheServerStopped(t *testing.T) {
 	synctest.Test(t, func(*testing.T) {
 		h := newFakeHandler()
-		s := NewServer(h)
+		s := NewServer(h, NewBodyMemory())
 		l := &pipeListener{conns: make(chan net.Conn, 2)}
 		go func() { _ = s.Serve(l) }()
 		s.Close()
--- a/entry/ingress/invalid_test.go
+++ b/entry/ingress/invalid_test.go
@@ -22,7 +22,7 @@
 	defer listener.Close()
 	h := newFakeHandler()
 	h.limits.MaxHeaderBytes = 64 << 10
-	go func() { _ = NewServer(h).Serve(listener) }()
+	go func() { _ = NewServer(h, NewBodyMemory()).Serve(listener) }()
 	c, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -4,10 +4,11 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 // Limits bound the size of requests and the time that callers may take to send
@@ -46,18 +47,29 @@
 	stopped        bool
 	inFlight       int
 	lastFinishedAt time.Time
-	// bodyBytes is the size of all request bodies in memory.
-	bodyBytes atomic.Int64
+	// bodyMemory is the memory of the request bodies.
+	bodyMemory *bodies.Memory
 }
 
-// NewServer returns a server whose requests are answered by h.
-func NewServer(h Handler) *Server {
-	return &Server{handler: h, conns: make(map[*conn]struct{}), lastFinishedAt: time.Now()}
+// NewServer returns a server whose requests are answered by h. Their bodies share a memory, see
+// NewBodyMemory.
+func NewServer(h Handler, bodyMemory *bodies.Memory) *Server {
+	return &Server{handler: h, conns: make(map[*conn]struct{}), lastFinishedAt: time.Now(), bodyMemory: bodyMemory}
 }
 
-// maxBodyMemoryBytes bounds the request bodies that are in memory at the same
-// time. Requests beyond it are rejected with status 503.
-const maxBodyMemoryBytes = 64 << 20
+const (
+	// maxBodyMemoryBytes bounds the long request bodies that are in memory at the same
+	// time. Requests beyond it are rejected with status 503.
+	maxBodyMemoryBytes = 64 << 20
+	// shortBodyReserveBytes is the memory that short bodies have in addition.
+	shortBodyReserveBytes = 16 << 20
+)
+
+// NewBodyMemory returns the memory for the bodies of requests. The servers of a process share one.
+func NewBodyMemory() *bodies.Memory {
+	const total = maxBodyMemoryBytes + shortBodyReserveBytes
+	return bodies.NewMemory(bodies.Limits{Total: total, PerSource: total, ShortReserve: shortBodyReserveBytes})
+}
 
 // acceptBackoff is the pause after a failed accept, which happens when file
 // descriptors run out.
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -16,18 +15,31 @@
 	maxHeadBytes = 64 << 10
 	// maxResponseBytes bounds the body of a response.
 	maxResponseBytes = 32 << 20
-	// maxBodyMemoryBytes bounds the bodies that are being read, or were read and have not
-	// been released, at the same time. The smallest VMs have three times as much memory.
+	// maxBodyMemoryBytes bounds the long bodies that are being read, or were read and have not
+	// been released, at the same time. The smallest VMs have four times as much memory.
 	maxBodyMemoryBytes = 64 << 20
+	// maxServerBodyMemoryBytes bounds those of one server, so that a server in trouble does not end
+	// the requests to others.
+	maxServerBodyMemoryBytes = 48 << 20
+	// shortBodyReserveBytes is the memory that short bodies have in addition.
+	shortBodyReserveBytes = 16 << 20
+	// uncountedBodyBytes is the size up to which a body always gets its memory.
+	uncountedBodyBytes = 16 << 10
 )
 
+// NewBodyMemory returns the memory for the bodies of responses. The pools of a process share one.
+func NewBodyMemory() *bodies.Memory {
+	return bodies.NewMemory(bodies.Limits{
+		Total: maxBodyMemoryBytes + shortBodyReserveBytes, PerSource: maxServerBodyMemoryBytes + shortBodyReserveBytes,
+		ShortReserve: shortBodyReserveBytes, Uncounted: uncountedBodyBytes,
+	})
+}
+
 // unlimited is the limit of a headLimitReader while no head is being read.
 const unlimited = 1 << 62
 
-// Causes of ErrMalformed for responses that exceed a bound.
+// errHeadTooLarge is the cause of ErrMalformed for a response whose heads exceed their bound.
 var errHeadTooLarge = errors.New("response head too large")
-var errResponseTooLarge = errors.New("response too large")
-var errBodyMemoryFull = errors.New("too many response bodies in memory")
 
 // headLimitReader bounds the bytes that are read for the heads of a response.
 type headLimitReader struct {
@@ -47,52 +59,20 @@
 	return n, err
 }
 
-// bodyMemory counts the bytes of the bodies that are being read or were not released.
-type bodyMemory struct{ bytes atomic.Int64 }
-
-// bodyReader reads one body and counts its bytes.
-type bodyReader struct {
-	r        io.Reader
-	memory   *bodyMemory
-	reserved int64
-}
-
-// Read implements io.Reader.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if b.memory.bytes.Add(int64(n)) > maxBodyMemoryBytes {
-		b.memory.bytes.Add(-int64(n))
-		return 0, errBodyMemoryFull
-	}
-	b.reserved += int64(n)
-	return n, err
-}
-
-// release ends the count of the body.
-func (b *bodyReader) release() {
-	b.memory.bytes.Add(-b.reserved)
-	b.reserved = 0
-}
-
-// readBody reads the body of a response. The bytes of the returned body are counted until
-// the reader is released.
-func readBody(r *http.Response, memory *bodyMemory) ([]byte, *bodyReader, error) {
-	reader := &bodyReader{r: r.Body, memory: memory}
+// readBody reads the body of a response to a call. The reservation holds the memory of the returned
+// body.
+func (c *conn) readBody(r *http.Response) ([]byte, *bodies.Reservation, error) {
+	reservation := c.memory.Reserve(c.serverID)
 	if r.ContentLength == 0 || r.Request.Method == http.MethodHead {
-		return nil, reader, nil
-	}
-	if r.ContentLength > maxResponseBytes {
-		return nil, reader, errResponseTooLarge
-	}
-	body, err := bodies.Read(io.LimitReader(reader, maxResponseBytes+1), r.ContentLength)
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
+		return nil, reservation, nil
 	}
+	body, err := bodies.Read(r.Body, r.ContentLength, maxResponseBytes, reservation)
 	if err == nil {
 		err = httpsyntax.CheckFields(r.Trailer)
 	}
 	if err != nil {
-		reader.release()
+		reservation.Release()
+		return nil, nil, err
 	}
-	return body, reader, err
+	return body, reservation, nil
 }
--- a/entry/upstream/call.go
+++ b/entry/upstream/call.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cassiawind/cassiawind/core/httpsyntax"
+	"github.com/cassiawind/cassiawind/entry/bodies"
 	"github.com/cassiawind/cassiawind/platform/adapter"
 )
 
@@ -68,15 +69,15 @@
 	Header        http.Header
 	Body          []byte
 	ServerHeaders adapter.ServerHeaders
-	// reader counts the bytes of the body.
-	reader *bodyReader
+	// reservation is the memory of the body.
+	reservation *bodies.Reservation
 	// endsWithConn is set if only the end of the connection marked the end of the body.
 	endsWithConn bool
 }
 
 // Release tells that the body is no longer in use. Bodies that are not released take from
 // the memory of others.
-func (r *Response) Release() { r.reader.release() }
+func (r *Response) Release() { r.reservation.Release() }
 
 // Trace records how a call was made.
 type Trace struct {
@@ -167,7 +168,7 @@
 	}
 	trace.ConnectTime = time.Since(begin)
 	headLimit := &headLimitReader{r: nc, remaining: unlimited}
-	return &conn{Conn: nc, headLimit: headLimit, br: bufio.NewReaderSize(headLimit, readBufferBytes), serverID: call.ServerID, memory: &p.bodyMemory}, nil
+	return &conn{Conn: nc, headLimit: headLimit, br: bufio.NewReaderSize(headLimit, readBufferBytes), serverID: call.ServerID, memory: p.bodyMemory}, nil
 }
 
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -296,18 +297,18 @@
 		return nil, false, c.badResponseError(err)
 	}
 	serverHeaders := adapter.ReadServerHeaders(httpResponse.StatusCode, httpResponse.Header)
-	body, reader, err := readBody(httpResponse, c.memory)
+	body, reservation, err := c.readBody(httpResponse)
 	if err != nil {
 		return nil, false, c.badResponseError(err)
 	}
 	if !c.belongsTo(call, serverHeaders) {
-		reader.release()
+		reservation.Release()
 		if serverHeaders.AttemptID != "" && !httpResponse.Close && httpResponse.ContentLength >= 0 {
 			return nil, false, nil
 		}
 		return nil, false, &CallError{ErrMalformed, errOtherRequest}
 	}
-	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, ServerHeaders: serverHeaders, reader: reader}
+	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, ServerHeaders: serverHeaders, reservation: reservation}
 	response.endsWithConn = !isSelfDelimited(httpResponse)
 	return response, !httpResponse.Close && !response.endsWithConn, nil
 }
--- a/entry/upstream/endless_test.go
+++ b/entry/upstream/endless_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 // writeEndlessly writes start and then text until the connection is closed, and returns
@@ -121,7 +123,7 @@
 				for range calls {
 					callers.Go(func() {
 						response, _, err := p.Do(context.Background(), newCall("a"))
-						if errors.Is(err, errBodyMemoryFull) {
+						if errors.Is(err, bodies.ErrMemoryFull) {
 							rejected.Add(1)
 						}
 						if err == nil {
@@ -133,9 +135,9 @@
 				if name != "with a length" {
 					require.GreaterOrEqual(t, rejected.Load(), int64(calls-maxBodyMemoryBytes/sentBytes), "at once")
 				}
-				require.LessOrEqual(t, p.bodyMemory.bytes.Load(), int64(maxBodyMemoryBytes))
+				require.LessOrEqual(t, p.bodyMemory.Used(), int64(maxBodyMemoryBytes))
 				callers.Wait()
-				require.Zero(t, p.bodyMemory.bytes.Load(), "all of it is released")
+				require.Zero(t, p.bodyMemory.Used(), "all of it is released")
 			}, scripts...)
 		})
 	}
@@ -164,13 +166,13 @@
 			responses = append(responses, response)
 		}
 		_, _, err := p.Do(context.Background(), newCall("a"))
-		require.ErrorIs(t, err, errBodyMemoryFull)
+		require.ErrorIs(t, err, bodies.ErrMemoryFull)
 		responses[0].Release()
 		responses[0].Release()
 		response, _, err := p.Do(context.Background(), newCall("a"))
 		require.NoError(t, err)
 		response.Release()
 		responses[1].Release()
-		require.Zero(t, p.bodyMemory.bytes.Load())
+		require.Zero(t, p.bodyMemory.Used())
 	}, script, script, script, script)
 }
--- a/entry/upstream/invalid_test.go
+++ b/entry/upstream/invalid_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	call := newCall("a")
 	call.Address = httpsyntaxtest.ServeText(t, func(*http.Request) string { return text })
-	return NewPool(&net.Dialer{}).Do(context.Background(), call)
+	return NewPool(&net.Dialer{}, NewBodyMemory()).Do(context.Background(), call)
 }
 
 // requireInvalid checks that none of the responses is taken for the response of a server.
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cassiawind/cassiawind/entry/bodies"
 )
 
 const (
@@ -47,14 +49,16 @@
 // Pool reuses connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dialer     Dialer
-	bodyMemory bodyMemory
+	bodyMemory *bodies.Memory
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-// NewPool returns an empty pool.
-func NewPool(d Dialer) *Pool { return &Pool{dialer: d, idle: make(map[string][]*conn)} }
+// NewPool returns an empty pool. The bodies of responses share a memory, see NewBodyMemory.
+func NewPool(d Dialer, bodyMemory *bodies.Memory) *Pool {
+	return &Pool{dialer: d, bodyMemory: bodyMemory, idle: make(map[string][]*conn)}
+}
 
 // conn is one connection to a backend server.
 type conn struct {
@@ -62,7 +66,7 @@
 	headLimit *headLimitReader
 	br        *bufio.Reader
 	serverID  string
-	memory    *bodyMemory
+	memory    *bodies.Memory
 	// idleSince and idleLimit apply while the connection is idle.
 	idleSince time.Time
 	idleLimit time.Duration
--- a/entry/upstream/reset_test.go
+++ b/entry/upstream/reset_test.go
@@ -25,7 +25,7 @@
 	call.Method, call.Body, call.HasBody = http.MethodPost, make([]byte, uploadBytes), true
 	call.Deadline = time.Now().Add(10 * time.Second)
 	call.Address = httpsyntaxtest.Serve(t, func(c *net.TCPConn, _ *http.Request) { answer(c) })
-	return NewPool(&net.Dialer{}).Do(context.Background(), call)
+	return NewPool(&net.Dialer{}, NewBodyMemory()).Do(context.Background(), call)
 }
 
 // awaitUnread waits until bytes have arrived that were not read. Closing a connection resets it then;
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -70,7 +70,7 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		s := &scriptedServer{scripts: scripts}
-		p := NewPool(s)
+		p := NewPool(s, NewBodyMemory())
 		test(p, s)
 		p.CloseIdle("s1")
 		// Longer than any script takes.
@@ -264,7 +264,7 @@
 	}()
 	call := newCall("a")
 	call.Address = listener.Addr().String()
-	_, trace, err := NewPool(&net.Dialer{}).Do(context.Background(), call)
+	_, trace, err := NewPool(&net.Dialer{}, NewBodyMemory()).Do(context.Background(), call)
 	require.ErrorIs(t, err, ErrBroken)
 	require.True(t, trace.Sent)
 }
--- a/standin/soak/testbed.go
+++ b/standin/soak/testbed.go
@@ -64,6 +64,8 @@
 	FaultPeriod time.Duration
 	// Plan replaces the plan of the seed if it is not nil.
 	Plan []Event
+	// MemoryMB is the memory that the settings allow each gateway, in MB; 0 states no limit.
+	MemoryMB float64
 }
 
 var failureDomains = []string{"north-a", "north-b", "south-a"}
@@ -263,7 +265,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"self": map[string]any{
 			"node_name": fmt.Sprintf("gateway-%d", i), "ip": ip, "zone": failureDomain, "region": regionOf[failureDomain],
-			"limits": map[string]any{"cpu_share": 1, "cores": 1, "link_mbps": 1000},
+			"limits": map[string]any{"cpu_share": 1, "cores": 1, "link_mbps": 1000, "memory_mb": tb.options.MemoryMB},
 		},
 		"network": map[string]any{
 			"listen":         map[string]any{"front": ip + ":8206", "ready": ip + ":8201", "directory": ip + ":8209"},
