forward: responses that are read to be stored share one memory

They share 64 MiB now (bodies.Memory), until the caller was answered and the outcome is stored. Beyond it the outcome is unknown, as after a response that is too large; a log line says so.

Evidence: TestMemoryOfStoredResponses, 24 bookings whose servers send 7 MiB in chunks and stop: 64 MiB at most, all of it released; a response of 2 MiB is delivered and replayed. Without a shared bound there is nothing that the test could look at on the code before. Other responses are passed on while they are read, or have 64 KiB at most.

--- a/entry/forward/bookings.go
+++ b/entry/forward/bookings.go
@@ -117,17 +117,20 @@
 	bookings *Bookings
 	dispatch func(mayDispatch func(time.Time) bool) once.Outcome
 	response chan *once.Response
+	// finished is called when the background work has ended.
+	finished func()
 
 	mu      sync.Mutex
 	request *once.Request
 }
 
 // startRequest starts to process a booking with an Idempotency-Key in the
-// background. The response is sent on the response channel exactly once.
-func (b *Bookings) startRequest(c *call, fingerprint string, dispatch func(func(time.Time) bool) once.Outcome) *keyedRequest {
+// background. The response is sent on the response channel exactly once. finished is called when
+// the background work has ended.
+func (b *Bookings) startRequest(c *call, fingerprint string, dispatch func(func(time.Time) bool) once.Outcome, finished func()) *keyedRequest {
 	self := b.fleet.Self()
 	k := &keyedRequest{
-		bookings: b, dispatch: dispatch, response: make(chan *once.Response, 1),
+		bookings: b, dispatch: dispatch, response: make(chan *once.Response, 1), finished: finished,
 		request: once.NewRequest(once.Config{}, once.Params{
 			Account: c.account.Name, IdempotencyKey: c.idempotencyKey, RequestID: uuid.NewString(),
 			VM: self.Vm, Incarnation: self.Incarnation, Fingerprint: fingerprint, Deadline: c.deadline,
@@ -142,6 +145,7 @@
 // run executes steps until none is left.
 func (k *keyedRequest) run(step once.Step) {
 	defer k.bookings.pending.Add(-1)
+	defer k.finished()
 	for step.Kind != once.Finish && step.Kind != once.None {
 		step = k.execute(step)
 	}
--- a/entry/forward/handler.go
+++ b/entry/forward/handler.go
@@ -16,6 +16,7 @@
 	"github.com/cassiawind/cassiawind/core/admission"
 	"github.com/cassiawind/cassiawind/core/quota"
 	"github.com/cassiawind/cassiawind/core/routing"
+	"github.com/cassiawind/cassiawind/entry/bodies"
 	"github.com/cassiawind/cassiawind/entry/policy"
 	"github.com/cassiawind/cassiawind/entry/problem"
 	"github.com/cassiawind/cassiawind/entry/service"
@@ -68,8 +69,10 @@
 	log        logr.Logger
 	transports *transports
 	bodyBudget bodyBudget
-	inFlight   atomic.Int64
-	closing    atomic.Bool
+	// storedMemory is the memory of responses that are read to be stored.
+	storedMemory *bodies.Memory
+	inFlight     atomic.Int64
+	closing      atomic.Bool
 }
 
 // Deps holds the dependencies of a Handler.
@@ -87,6 +90,7 @@
 	return &Handler{
 		config: config, control: d.Control, regions: d.Regions, services: d.Services, bookings: d.Bookings,
 		metrics: d.Metrics, log: d.Log, rejections: telemetry.NewRejectionLog(d.Log), transports: newTransports(),
+		storedMemory: bodies.NewMemory(bodies.Limits{Total: maxStoredMemoryBytes, PerSource: maxStoredMemoryBytes}),
 	}
 }
 
--- a/entry/forward/keyed_request.go
+++ b/entry/forward/keyed_request.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"crypto/sha256"
-	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiawind/cassiawind/core/once"
+	"github.com/cassiawind/cassiawind/entry/bodies"
 	"github.com/cassiawind/cassiawind/entry/hop"
 	"github.com/cassiawind/cassiawind/entry/problem"
 )
@@ -17,6 +18,8 @@
 	// Idempotency-Key, which is read completely before it is forwarded and
 	// stored.
 	maxStoredResponseBytes = 8 << 20
+	// maxStoredMemoryBytes bounds such responses of more than maxBufferedResponseBytes in the process.
+	maxStoredMemoryBytes = 64 << 20
 	// headerReplayed marks a response that was stored by an earlier request
 	// with the same Idempotency-Key.
 	headerReplayed = "Cassiawind-Replayed"
@@ -38,17 +41,34 @@
 	digest := sha256.Sum256(body.buffered)
 	fingerprint := once.Fingerprint(c.r.Method, c.r.URL.RequestURI(), digest[:])
 	var rejection *problem.Rejection
+	memory := &sharedReservation{reservation: h.storedMemory.Reserve("")}
+	// The response is in use here and until it is stored.
+	memory.users.Store(2)
+	defer memory.release()
 	request := h.bookings.startRequest(c, fingerprint, func(mayDispatch func(time.Time) bool) once.Outcome {
 		var outcome once.Outcome
-		outcome, rejection = h.dispatchBooking(c, body, mayDispatch)
+		outcome, rejection = h.dispatchBooking(c, body, memory.reservation, mayDispatch)
 		return outcome
-	})
+	}, memory.release)
 	return h.writeBookingResponse(c, request.awaitResponse(ctx), &rejection)
 }
 
+// sharedReservation is a reservation with several users.
+type sharedReservation struct {
+	reservation *bodies.Reservation
+	users       atomic.Int32
+}
+
+// release ends one use.
+func (s *sharedReservation) release() {
+	if s.users.Add(-1) == 0 {
+		s.reservation.Release()
+	}
+}
+
 // dispatchBooking sends the booking. It continues after the caller disconnects,
 // so that a later request with the same key gets the outcome.
-func (h *Handler) dispatchBooking(c *call, body *requestBody, mayDispatch func(time.Time) bool) (once.Outcome, *problem.Rejection) {
+func (h *Handler) dispatchBooking(c *call, body *requestBody, memory *bodies.Reservation, mayDispatch func(time.Time) bool) (once.Outcome, *problem.Rejection) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
 	defer cancel()
 	resp, rej := h.dispatch(ctx, c, body, mayDispatch)
@@ -63,8 +83,9 @@
 	content := resp.body
 	if !resp.isBuffered {
 		var err error
-		content, err = io.ReadAll(io.LimitReader(resp.httpResp.Body, maxStoredResponseBytes+1))
-		if err != nil || len(content) > maxStoredResponseBytes {
+		content, err = bodies.Read(resp.httpResp.Body, resp.httpResp.ContentLength, maxStoredResponseBytes, memory)
+		if err != nil {
+			h.log.Info("response to a booking was not received whole", "id", c.id, "error", err.Error())
 			return once.Outcome{Kind: once.Unknown}, nil
 		}
 	}
