httpsyntax: heads without end are bounded for all readers of answers

The store, hubs and health polls had the bound of http.Transport for a head, 10 MB for each call; the entry process polls each server every second, all at the same time.

NewTransport sets 64 KiB where nothing is stated, and counts the fields of interim responses itself.

Evidence: TestEndlessHeadsAreBounded, bytes read of a server that sends heads without end: 10 MB with the bound of http.Transport (four kinds), no end within 5 s for interim responses; at most 80 KiB now.

--- a/core/httpsyntax/head.go
+++ b/core/httpsyntax/head.go
@@ -10,8 +10,6 @@
 const (
 	version10        = "HTTP/1.0"
 	transferEncoding = "Transfer-Encoding"
-	// maxRecordedBytes bounds the bytes that are kept of one head.
-	maxRecordedBytes = 64 << 10
 )
 
 // HeadRecorder keeps the head of an HTTP/1.0 message. net/http removes the Transfer-Encoding of such
@@ -50,7 +48,7 @@
 	if h.mayBe10 == nil {
 		return
 	}
-	h.head = append(h.head, read[:min(len(read), maxRecordedBytes-len(h.head))]...)
+	h.head = append(h.head, read[:min(len(read), maxHeadBytes-len(h.head))]...)
 	if !h.mayBe10(h.head) {
 		h.head, h.mayBe10 = nil, nil
 	}
--- a/core/httpsyntax/transport.go
+++ b/core/httpsyntax/transport.go
@@ -19,8 +19,19 @@
 // written: the failure of the connection may have reached the write alone.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport that sends its requests through base.
+const (
+	// maxHeadBytes bounds the head of a response, and the heads of the interim responses before it.
+	maxHeadBytes = 64 << 10
+	// interimOverhead is the least size of an interim response without its fields.
+	interimOverhead = len("HTTP/1.1 100 \r\n\r\n")
+)
+
+// NewTransport returns a Transport that sends its requests through base. If base states no bound of
+// the heads of responses, that is 64 KiB.
 func NewTransport(base *http.Transport) *Transport {
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	dial := base.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -63,8 +74,9 @@
 	conn *recordedConn
 	// written gets the result of writing the request to it.
 	written chan error
-	// interim is set once there was an interim response.
-	interim bool
+	// interim is set once there was an interim response, interimBytes the size of all their fields.
+	interim      bool
+	interimBytes int
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -89,6 +101,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.interim = true
+	e.interimBytes += interimOverhead
+	for name, values := range header {
+		for _, value := range values {
+			e.interimBytes += len(name) + len(value)
+		}
+	}
+	if e.interimBytes > maxHeadBytes {
+		return errors.Wrap(ErrInvalid, "interim responses too large")
+	}
 	return CheckFields(header)
 }
 
