exchange: VMs that were cut from the others find the hub again

TestSuspectsReachAllVMs failed in 4 of 150 runs, 4 of 300 here: a VM did not hear of a suspect request, nor that it was released, also with no message lost any more. A fault of the product; the order of a map in the test decides which messages are lost.

Cause: a VM that looks for a hub tries the first VMs for a second and then a window that moves along the roster, to itself at last. It is its own hub then, reports to nobody else, and the hub of the others sends it nothing because it does not report. After a partition the same: one VM, a third or half of the VMs keep their own hub without end.

A hub reports to silent VMs before it in the roster, the first two and two others in turn: an earlier hub answers, and its digest takes precedence. A VM that looks for a hub tries the first two VMs all the time, beside the window.

The test's fleet sends digests in order now, so that its seed decides. Ruled out: core/poison (the merged entries were right wherever a message arrived), times of the digests.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -231,17 +231,17 @@
 	return hubs
 }
 
-// searchHubs returns the VMs to try while no hub is known. The window moves along
-// the roster until it covers a hub that is alive.
+// searchHubs returns the VMs to try while no hub is known: the first ones, whose messages may have
+// been lost, and a window that moves along the roster until it covers a hub that is alive.
 func (m *Machine) searchHubs(now time.Duration) []string {
-	if len(m.roster) == 0 {
-		return nil
+	if len(m.roster) <= hubSearchCount {
+		return slices.Clone(m.roster)
 	}
 	searchTime := max(0, now-max(m.digestAt, m.started)-digestValidity(len(m.roster)))
-	offset := int(searchTime/time.Second) * hubCount % len(m.roster)
-	var hubs []string
-	for i := range min(hubSearchCount, len(m.roster)) {
-		hubs = append(hubs, m.roster[(offset+i)%len(m.roster)])
+	hubs, others := slices.Clone(m.roster[:hubCount]), m.roster[hubCount:]
+	offset := int(searchTime/time.Second) * hubCount
+	for i := range hubSearchCount - hubCount {
+		hubs = append(hubs, others[(offset+i)%len(others)])
 	}
 	return hubs
 }
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -28,6 +29,10 @@
 	largestMessage int
 	sentMessages   int
 	versions       Versions
+	// sender sends the message that is being delivered.
+	sender string
+	// cut are VMs without links to the others.
+	cut map[string]bool
 	// storeUnreachable marks VMs that do not reach the store.
 	storeUnreachable map[string]bool
 }
@@ -63,7 +68,7 @@
 	require.NoError(f.t, err)
 	f.largestMessage = max(f.largestMessage, len(raw))
 	f.sentMessages++
-	if !f.stopped[to] && f.random.Float64() >= f.loss {
+	if !f.stopped[to] && f.cut[to] == f.cut[f.sender] && f.random.Float64() >= f.loss {
 		handle(f.vms[to])
 	}
 }
@@ -76,6 +81,7 @@
 		if f.stopped[name] {
 			continue
 		}
+		f.sender = name
 		r := m.Report(f.now, "north", map[string]float64{"hot": f.demand[name]}, Work{}, true)
 		for _, hub := range m.ReportTargets(f.now) {
 			f.deliver(hub, r, func(hub *Machine) { hub.HandleReport(f.now, r) })
@@ -87,6 +93,7 @@
 			continue
 		}
 		if r, ok := m.GroupReport(f.now); ok {
+			f.sender = name
 			for _, hub := range m.Hubs(f.now) {
 				f.deliver(hub, r, func(hub *Machine) { hub.HandleGroupReport(f.now, r) })
 			}
@@ -98,10 +105,15 @@
 			continue
 		}
 		if m.SendsDigests(f.now) {
-			for vm, d := range m.Digests(f.now) {
-				f.deliver(vm, d, func(receiver *Machine) {
-					for member, forward := range receiver.HandleDigest(f.now, d) {
-						f.deliver(member, forward, func(to *Machine) { to.HandleDigest(f.now, forward) })
+			// In order, so that the seed decides which messages are lost.
+			digests := m.Digests(f.now)
+			for _, vm := range slices.Sorted(maps.Keys(digests)) {
+				f.sender = name
+				f.deliver(vm, digests[vm], func(receiver *Machine) {
+					f.sender = vm
+					forwards := receiver.HandleDigest(f.now, digests[vm])
+					for _, member := range slices.Sorted(maps.Keys(forwards)) {
+						f.deliver(member, forwards[member], func(to *Machine) { to.HandleDigest(f.now, forwards[member]) })
 					}
 				})
 			}
@@ -117,6 +129,7 @@
 					versions = upstream.Versions
 				}
 				h := m.Heartbeat(f.now, versions, hubs && !f.storeUnreachable[name])
+				f.sender = name
 				for _, vm := range to {
 					f.deliver(vm, h, func(receiver *Machine) { receiver.HandleHeartbeat(f.now, h) })
 				}
--- a/core/exchange/groups.go
+++ b/core/exchange/groups.go
@@ -107,10 +107,14 @@
 }
 
 // ReportTargets returns the VMs to report to at now; a group leader reports to
-// itself.
+// itself. A hub reports to silent VMs before it as well: one of them may be the hub of
+// VMs that this one was cut from.
 func (m *Machine) ReportTargets(now time.Duration) []string {
 	digest, fresh := m.Digest(now)
 	hubs := m.Hubs(now)
+	if fresh && digest.Settled && digest.Hub == m.self {
+		return slices.Concat(hubs, m.silentBefore(now, digest))
+	}
 	if !m.usesGroups() || !fresh || !digest.Settled || slices.Contains(hubs, m.self) {
 		return hubs
 	}
@@ -120,6 +124,22 @@
 	return hubs
 }
 
+// silentBefore returns some of the silent VMs before this one in the roster: the first ones, which
+// are hubs as soon as they are alive, and the next ones of the others in each report interval.
+func (m *Machine) silentBefore(now time.Duration, d Digest) []string {
+	rank := slices.Index(m.roster, m.self)
+	silent := slices.DeleteFunc(slices.Clone(m.roster[:max(0, rank)]), func(vm string) bool { return !slices.Contains(d.Silent, vm) })
+	if len(silent) <= hubSearchCount {
+		return silent
+	}
+	first, others := silent[:hubCount], silent[hubCount:]
+	offset := int(now/ReportInterval(len(m.roster))) * (hubSearchCount - hubCount)
+	for i := range hubSearchCount - hubCount {
+		first = append(slices.Clip(first), others[(offset+i)%len(others)])
+	}
+	return first
+}
+
 // directMembers returns the VMs that reported to this one recently, itself
 // included.
 func (m *Machine) directMembers(now time.Duration) map[string]*receivedReport {
