httpsyntax: nothing is copied of messages that are not HTTP/1.0

HeadRecorder copied what had been read of each message before it looked at its version. It looks first. TestHeadRecorder: no allocation for an HTTP/1.1 message, and the same result wherever the bytes of a head are cut.

--- a/core/httpsyntax/head.go
+++ b/core/httpsyntax/head.go
@@ -48,6 +48,11 @@
 	if h.mayBe10 == nil {
 		return
 	}
+	if len(h.head) == 0 && !h.mayBe10(read) {
+		// Nothing is copied of most messages.
+		h.mayBe10 = nil
+		return
+	}
 	h.head = append(h.head, read[:min(len(read), maxHeadBytes-len(h.head))]...)
 	if !h.mayBe10(h.head) {
 		h.head, h.mayBe10 = nil, nil
